--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format bench binary capacity
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/chicorylead demo
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src tests bench
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --fix src tests bench
+	$(BIN)/ruff format src tests bench
+
+test: lint
+	$(BIN)/python -m pytest tests
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench steady --seconds 10 --json
+
+binary: $(VENV)/.installed
+	rm -rf build dist && mkdir -p dist
+	$(BIN)/shiv --quiet --console-script chicorylead --python "/usr/bin/env python3.11" \
+	  --compressed --output-file dist/chicorylead --no-build-isolation .
--- /dev/null
+++ b/src/chicorylead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/chicorylead/cli/main.py
@@ -0,0 +1,163 @@
+"""Sub-commands, their flags and their exit codes.
+
+Exit codes: 0 done, 1 the command failed, 2 the command line or a file is wrong.
+"""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+from absl import app as absl_app
+from absl import logging as absl_logging
+from absl.flags import argparse_flags
+
+from chicorylead import __version__
+from chicorylead.cli import config_commands, fleet_commands, run_commands
+from chicorylead.errors import Refusal
+
+__all__ = ["main"]
+
+DEFAULT_ROUTER = "127.0.0.1:8080"
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+Command = Callable[[argparse.Namespace], Coroutine[Any, Any, int]]
+
+
+def main() -> None:
+    """Run the command line and exit."""
+    absl_logging.use_absl_handler()
+    absl_app.run(_run, flags_parser=_parse)
+
+
+def _run(args: argparse.Namespace) -> int:
+    command: Command = args.command
+    try:
+        return uvloop.run(command(args))
+    except Refusal as exc:
+        sys.stderr.write(f"chicorylead: {exc.detail}\n")
+        return EXIT_USAGE
+    except OSError as exc:
+        sys.stderr.write(f"chicorylead: {exc}\n")
+        return EXIT_FAILED
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return EXIT_FAILED
+
+
+def _parse(argv: list[str]) -> argparse.Namespace:
+    parser = argparse_flags.ArgumentParser(
+        prog="chicorylead",
+        description="Router fleet for organisations that share model capacity.",
+        inherited_absl_flags=None,
+    )
+    commands = parser.add_subparsers(metavar="COMMAND", required=True)
+    _add_run_commands(commands)
+    _add_config_commands(commands)
+    _add_fleet_commands(commands)
+    return parser.parse_args(argv[1:])
+
+
+def _add(
+    commands: Any, name: str, text: str, command: Command
+) -> argparse.ArgumentParser:
+    parser = commands.add_parser(name, help=text, description=text)
+    parser.set_defaults(command=command)
+    return parser
+
+
+def _add_operator_flags(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--router", default=DEFAULT_ROUTER, help="IP number and port of any router"
+    )
+    parser.add_argument(
+        "--token",
+        default=None,
+        help="operator credential; by default from CHICORYLEAD_OPERATOR_TOKEN",
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+def _add_run_commands(commands: Any) -> None:
+    router = _add(commands, "router", "run a router", run_commands.run_router)
+    router.add_argument("--settings", required=True, help="YAML file")
+    demo = _add(commands, "demo", "show the whole path", run_commands.run_demo)
+    demo.add_argument("--json", action="store_true", help="print JSON")
+    _add(commands, "version", "print the version", _print_version)
+    standin = commands.add_parser("standin", help="run a stand-in of a neighbour")
+    kinds = standin.add_subparsers(metavar="KIND", required=True)
+    for kind in ("platform", "engine", "service", "network"):
+        parser = _add(kinds, kind, f"run a {kind}", run_commands.run_standin)
+        parser.set_defaults(kind=kind)
+        parser.add_argument(
+            "--set",
+            action="append",
+            default=[],
+            metavar="FIELD=VALUE",
+            help="set a field of its settings",
+        )
+
+
+def _add_config_commands(commands: Any) -> None:
+    config = commands.add_parser("config", help="configuration records")
+    actions = config.add_subparsers(metavar="ACTION", required=True)
+    validate = _add(
+        actions, "validate", "check records in a file", config_commands.validate
+    )
+    validate.add_argument("file", help="YAML or JSON, one or more records")
+    publish = _add(
+        actions, "publish", "publish records of a file", config_commands.publish
+    )
+    publish.add_argument("file", help="YAML or JSON, one or more records")
+    _add_operator_flags(publish)
+    show = _add(actions, "show", "read back what is in force", config_commands.show)
+    show.add_argument("--all-routers", action="store_true", help="ask every router")
+    _add_operator_flags(show)
+    history = _add(actions, "history", "changes in the log", config_commands.history)
+    history.add_argument("--settings", required=True, help="YAML file of a router")
+    history.add_argument("--json", action="store_true", help="print JSON")
+    settings = commands.add_parser("settings", help="settings of a router")
+    actions = settings.add_subparsers(metavar="ACTION", required=True)
+    check = _add(actions, "check", "check a settings file", config_commands.check)
+    check.add_argument("file", help="YAML file")
+
+
+def _add_fleet_commands(commands: Any) -> None:
+    address = _add(commands, "address", "ask for addresses", fleet_commands.address)
+    _add_operator_flags(address)
+    status = _add(commands, "status", "state of a router", fleet_commands.status)
+    _add_operator_flags(status)
+    shares = _add(
+        commands, "shares", "who holds what, and who waits", fleet_commands.shares
+    )
+    _add_operator_flags(shares)
+    request = _add(commands, "request", "send a request", fleet_commands.request)
+    _add_operator_flags(request)
+    request.add_argument("--organisation", required=True)
+    request.add_argument("--organisation-token", required=True)
+    request.add_argument("--key", help="idempotency key")
+    request.add_argument("service")
+    request.add_argument("operation")
+    request.add_argument("body", help="JSON text")
+    resolve = _add(
+        commands, "resolve", "decide on an unknown outcome", fleet_commands.resolve
+    )
+    _add_operator_flags(resolve)
+    resolve.add_argument("--organisation", required=True)
+    resolve.add_argument("--service", required=True)
+    resolve.add_argument("--key", required=True)
+    word = resolve.add_mutually_exclusive_group(required=True)
+    word.add_argument("--ran", action="store_true", dest="ran")
+    word.add_argument("--not-run", action="store_false", dest="ran")
+    report = commands.add_parser("report", help="reports")
+    actions = report.add_subparsers(metavar="REPORT", required=True)
+    burn = _add(actions, "burn", "service-level burn", fleet_commands.report_burn)
+    burn.add_argument("--plot", metavar="FILE", help="write a picture (PNG)")
+    _add_operator_flags(burn)
+
+
+async def _print_version(args: argparse.Namespace) -> int:
+    sys.stdout.write(f"chicorylead {__version__}\n")
+    return 0
--- /dev/null
+++ b/src/chicorylead/cli/run_commands.py
@@ -0,0 +1,83 @@
+"""Commands that run processes: routers, stand-ins and the demonstration."""
+
+import argparse
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from absl import logging as absl_logging
+
+from chicorylead.application import Application
+from chicorylead.demo import run as run_demonstration
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.logs import EventLog
+from chicorylead.router.app import Router
+from chicorylead.settings import load_settings
+from chicorylead.standin.engine import EngineSettings, StandinEngine
+from chicorylead.standin.network import FaultProxy
+from chicorylead.standin.platform import StandinPlatform, StandinPlatformSettings
+from chicorylead.standin.service import ServiceSettings, StandinService
+
+__all__ = ["run_demo", "run_router", "run_standin"]
+
+
+async def run_router(args: argparse.Namespace) -> int:
+    """Run a router until a signal, then drain it."""
+    cfg = load_settings(Path(args.settings))
+    absl_logging.set_verbosity(cfg.log_level)
+    # The one reading of the wall clock: a restart must get a higher number, and
+    # the VM keeps nothing.
+    router = Router(cfg, incarnation=int(time.time() * 1000))
+    await router.run()
+    return 0
+
+
+async def run_demo(args: argparse.Namespace) -> int:
+    """Show the whole path in one process."""
+    absl_logging.set_verbosity(absl_logging.ERROR)
+    return await run_demonstration(args.json)
+
+
+async def run_standin(args: argparse.Namespace) -> int:
+    """Run one stand-in until a signal; the first line it prints is its port."""
+    absl_logging.set_verbosity(absl_logging.WARNING)
+    fields = _fields(args.set)
+    part: Any
+    match args.kind:
+        case "platform":
+            part = StandinPlatform(_settings(fields, StandinPlatformSettings))
+        case "engine":
+            part = StandinEngine(_settings(fields, EngineSettings))
+        case "service":
+            part = StandinService(_settings(fields, ServiceSettings))
+        case _:
+            part = FaultProxy(int(fields.get("port", 0)))
+    app = Application(EventLog(standin=args.kind))
+    app.add(part.start, part.stop)
+    app.add(start=lambda: _announce(part.port))
+    await app.run()
+    return 0
+
+
+async def _announce(port: int) -> None:
+    sys.stdout.write(f"{port}\n")
+    sys.stdout.flush()
+
+
+def _fields(pairs: list[str]) -> dict[str, str]:
+    fields = {}
+    for pair in pairs:
+        name, equals, value = pair.partition("=")
+        if not equals:
+            raise Refusal(ErrorKind.BAD_REQUEST, f"--set {pair}: not FIELD=VALUE")
+        fields[name] = value
+    return fields
+
+
+def _settings(fields: dict[str, str], type_: type) -> Any:
+    try:
+        return msgspec.convert(fields, type_, strict=False)
+    except msgspec.ValidationError as exc:
+        raise Refusal(ErrorKind.BAD_REQUEST, f"--set: {exc}") from exc
--- /dev/null
+++ b/src/chicorylead/http_server.py
@@ -0,0 +1,106 @@
+"""An HTTP server that an application object starts and stops."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.types import ASGIApp
+
+__all__ = ["HttpServer"]
+
+LISTEN_BACKLOG = 1024
+TCP_USER_TIMEOUT_MS = 30_000
+KEEP_ALIVE_IDLE_S = 15
+KEEP_ALIVE_INTERVAL_S = 5
+KEEP_ALIVE_COUNT = 3
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the process that embeds it."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit these, so that a caller's connection that went
+    # silent is noticed and its request dropped.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.bind((host, port))
+    sock.setblocking(False)
+    return sock
+
+
+class HttpServer:
+    """Serve an ASGI application until stopped.
+
+    Args:
+        app: The application.
+        host: IP number to listen on.
+        port: TCP port; 0 takes a free one.
+        n_connections: Open connections allowed; None for no limit.
+
+    Attributes:
+        port: The port that is listened on.
+    """
+
+    def __init__(
+        self,
+        app: ASGIApp,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        n_connections: int | None = None,
+    ) -> None:
+        self._sock = _listen(host, port)
+        self.port: int = self._sock.getsockname()[1]
+        cfg = uvicorn.Config(
+            app,
+            log_config=None,
+            log_level="critical",
+            access_log=False,
+            lifespan="off",
+            http="httptools",
+            ws="none",
+            backlog=LISTEN_BACKLOG,
+            limit_concurrency=n_connections,
+            timeout_keep_alive=15,
+            server_header=False,
+        )
+        self._server = _Server(cfg)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to accept connections."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._sock]))
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(0.005)
+
+    async def stop(self, grace_s: float | None = None) -> None:
+        """Stop accepting, and wait for the requests in flight.
+
+        Args:
+            grace_s: Longest wait, seconds; None waits for all.
+        """
+        if self._task is None:
+            return
+        self._server.should_exit = True
+        _, pending = await asyncio.wait([self._task], timeout=grace_s)
+        if pending:
+            self._server.force_exit = True
+            await asyncio.wait([self._task], timeout=1.0)
+            self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._sock.close()
--- /dev/null
+++ b/src/chicorylead/ids.py
@@ -0,0 +1,27 @@
+"""Identifier types shared by every part of the fleet."""
+
+from typing import NewType
+
+__all__ = [
+    "ExchangeId",
+    "Incarnation",
+    "IdempotencyKey",
+    "Offset",
+    "OrganisationId",
+    "RequestId",
+    "RouterId",
+    "ServiceName",
+    "UpstreamId",
+    "ZoneName",
+]
+
+ExchangeId = NewType("ExchangeId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Incarnation = NewType("Incarnation", int)
+Offset = NewType("Offset", int)
+OrganisationId = NewType("OrganisationId", str)
+RequestId = NewType("RequestId", str)
+RouterId = NewType("RouterId", str)
+ServiceName = NewType("ServiceName", str)
+UpstreamId = NewType("UpstreamId", str)
+ZoneName = NewType("ZoneName", str)
--- /dev/null
+++ b/src/chicorylead/link/__init__.py
@@ -0,0 +1,1 @@
+"""Links between routers: signed messages, the reporting tree, notices."""
--- /dev/null
+++ b/src/chicorylead/link/hub.py
@@ -0,0 +1,495 @@
+"""Links to the parent and the children in the reporting tree.
+
+One task for each peer sends reports at a period that keeps within the byte budget;
+one task takes all messages in. A peer that stays silent is dialled again on a new
+socket, then declared gone.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+import pynng
+
+from chicorylead.ids import Incarnation, Offset, RouterId
+from chicorylead.link.message import (
+    BadMessage,
+    Codec,
+    Down,
+    Envelope,
+    Notice,
+    Payload,
+    PoolDown,
+    PoolUp,
+    Probe,
+    RecordsAnswer,
+    RecordsQuery,
+    RouterNotice,
+    Up,
+)
+from chicorylead.link.tree import parent_of
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.settings import LinkSettings
+from chicorylead.vm.view import FleetView, Member, MemberNotice, MemberState
+
+__all__ = ["LinkHub", "ReportSource"]
+
+WIRE_OVERHEAD_BYTES = 140  # TCP, IP and nng headers of a message and of its ack
+URGENT_GAP_S = 0.05
+MAX_PERIOD_S = 5.0
+PROBE_PERIOD_S = 3.0
+NOTICE_REPEATS = 3
+MAX_NOTICES = 24
+SEND_BUFFER = 16
+CHILD_TTL_S = 3.0
+
+
+class ReportSource(Protocol):
+    """What the hub needs from the parts that reports are made of."""
+
+    def build_up(self) -> dict[str, PoolUp]:
+        """Return the pool parts of a report to the parent."""
+
+    def build_down(self, child: RouterId) -> dict[str, PoolDown]:
+        """Return the pool parts of a report to a child."""
+
+    def take_up(self, child: RouterId, incarnation: Incarnation, up: Up) -> None:
+        """Take in a report of a child."""
+
+    def take_down(self, down: Down) -> None:
+        """Take in a report of the parent."""
+
+    def close_round(self) -> None:
+        """Act as the root."""
+
+    def drop_child(self, child: RouterId) -> None:
+        """Forget a child."""
+
+    def demand_moved(self) -> bool:
+        """Tell whether a report should not wait for the period."""
+
+
+class ByteBudget:
+    """Derive the period of reports from the bytes that they take.
+
+    Attributes:
+        n_sent: Wire bytes sent.
+        n_received: Wire bytes received.
+    """
+
+    def __init__(self, rate: float, min_period_s: float) -> None:
+        self._rate = rate
+        self._min_period_s = min_period_s
+        self._message_bytes = 200.0
+        self.n_sent = 0
+        self.n_received = 0
+
+    def note(self, n_bytes: int, sent: bool) -> None:
+        """Count a message."""
+        wire = n_bytes + WIRE_OVERHEAD_BYTES
+        self._message_bytes += 0.1 * (wire - self._message_bytes)
+        if sent:
+            self.n_sent += wire
+        else:
+            self.n_received += wire
+
+    def period_s(self, n_links: int) -> float:
+        """Return the time between reports, each link carrying one each way."""
+        per_round = 2.0 * max(1, n_links) * self._message_bytes
+        period_s = per_round / (0.8 * self._rate)
+        return min(MAX_PERIOD_S, max(self._min_period_s, period_s))
+
+
+@dataclass(eq=False, slots=True)
+class _Peer:
+    """State of the link to one peer."""
+
+    id: RouterId
+    address: str
+    is_parent: bool
+    urgent: asyncio.Event = field(default_factory=asyncio.Event)
+    notices: deque[tuple[Notice, int]] = field(default_factory=deque)
+    heard_at: float = 0.0
+    last_sequence: tuple[int, int] = (0, 0)
+    period_s: float = 0.2
+    task: asyncio.Task[None] | None = None
+
+
+class LinkHub:
+    """All links of one router.
+
+    Args:
+        cfg: Settings of links.
+        source: Parts that reports are made of.
+        log: Where events go.
+        metrics: Where counts go.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        cfg: LinkSettings,
+        source: ReportSource,
+        log: EventLog,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        self._cfg = cfg
+        self._source = source
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._codec = Codec(cfg.key)
+        self._clock = asyncio.get_running_loop().time
+        self._peers: dict[RouterId, _Peer] = {}
+        self._sequence = 0
+        self._last_sequences: dict[RouterId, tuple[int, int]] = {}
+        self._recent: deque[tuple[float, Notice]] = deque(maxlen=200)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listener: pynng.Pull0 | None = None
+        self._view: FleetView | None = None
+        self._root: tuple[RouterId, Incarnation, int] | None = None
+        self.budget = ByteBudget(cfg.budget_bytes_per_s, cfg.min_period_s)
+        self.address = ""
+        self.on_notice: Callable[[Notice], None] = lambda notice: None
+        self.on_records: Callable[[RecordsAnswer], None] = lambda answer: None
+        self.on_config_ahead: Callable[[RouterId, Offset], None] = lambda r, o: None
+        self.answer_records: Callable[[Offset], RecordsAnswer] | None = None
+        self.config_offset: Callable[[], Offset] = lambda: Offset(0)
+
+    # -- life cycle
+
+    def listen(self) -> str:
+        """Open the listening socket and return its address."""
+        self._listener = pynng.Pull0(recv_max_size=4_000_000)
+        listener = self._listener.listen(f"tcp://{self._cfg.host}:{self._cfg.port}")
+        self.address = str(listener.local_address)
+        return self.address
+
+    def start(self, view: FleetView) -> None:
+        """Start to send and take in messages."""
+        self._view = view
+        self._tasks = [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._keep_links()),
+            asyncio.create_task(self._probe_lost()),
+        ]
+
+    async def stop(self) -> None:
+        """Close all links."""
+        tasks = [*self._tasks, *(p.task for p in self._peers.values() if p.task)]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._listener is not None:
+            self._listener.close()
+
+    # -- notices
+
+    def spread(self, notice: Notice, heard_from: RouterId | None = None) -> None:
+        """Pass a notice on over every link but the one it came from."""
+        self._recent.append((self._clock(), notice))
+        for peer in self._peers.values():
+            if peer.id != heard_from:
+                peer.notices.append((notice, NOTICE_REPEATS))
+                peer.urgent.set()
+
+    def spread_member(self, notice: MemberNotice) -> None:
+        """Pass on news of a router."""
+        self._metrics.count("view.changes")
+        self._log.info(
+            "member_state",
+            router=notice.router,
+            state=notice.state.name.lower(),
+            incarnation=notice.incarnation,
+            version=notice.version,
+        )
+        self.spread(RouterNotice(notice))
+
+    def report_soon(self) -> None:
+        """Send reports without waiting for the period if demand moved."""
+        if not self._source.demand_moved():
+            return
+        parent = self._parent()
+        if parent is not None:
+            parent.urgent.set()
+
+    # -- the tree
+
+    @property
+    def period_s(self) -> float:
+        """Return the period of reports on each link, seconds."""
+        return self.budget.period_s(len(self._peers))
+
+    @property
+    def root(self) -> RouterId | None:
+        """Return the root of the tree, as last reported."""
+        return self._root[0] if self._root else None
+
+    def _parent(self) -> _Peer | None:
+        return next((p for p in self._peers.values() if p.is_parent), None)
+
+    async def _keep_links(self) -> None:
+        """Keep the set of links in line with the view; act as root if it is one."""
+        while True:
+            self._choose_links()
+            if self._parent() is None:
+                self._source.close_round()
+                self._root = (self._own.id, self._own.incarnation, 0)
+            await asyncio.sleep(max(0.1, self.period_s / 2))
+
+    @property
+    def _own(self) -> Member:
+        assert self._view is not None
+        return self._view.own
+
+    def _choose_links(self) -> None:
+        assert self._view is not None
+        present = {(m.id, m.zone) for m in self._view.present()}
+        present.add((self._own.id, self._own.zone))
+        parent = parent_of(self._own.id, self._own.zone, present, self._cfg.fan_out)
+        horizon = self._clock() - CHILD_TTL_S
+        for peer in list(self._peers.values()):
+            stale_child = not peer.is_parent and peer.heard_at < horizon
+            if stale_child or (peer.is_parent and peer.id != parent):
+                self._drop(peer)
+        if parent is not None and parent not in self._peers:
+            member = self._view.member(parent)
+            assert member is not None
+            self._open(parent, member.link, is_parent=True)
+        elif parent is not None:
+            self._peers[parent].is_parent = True
+
+    def _open(self, router: RouterId, address: str, is_parent: bool) -> _Peer:
+        peer = _Peer(router, address, is_parent, heard_at=self._clock())
+        self._peers[router] = peer
+        horizon = self._clock() - 10.0
+        for at, notice in self._recent:
+            if at > horizon:
+                peer.notices.append((notice, NOTICE_REPEATS))
+        peer.task = asyncio.create_task(self._run_peer(peer))
+        self._log.info("link_open", peer=router, parent=is_parent, address=address)
+        return peer
+
+    def _drop(self, peer: _Peer) -> None:
+        del self._peers[peer.id]
+        if peer.task is not None:
+            peer.task.cancel()
+        self._source.drop_child(peer.id)
+        self._log.info("link_close", peer=peer.id, parent=peer.is_parent)
+
+    # -- one peer
+
+    async def _run_peer(self, peer: _Peer) -> None:
+        """Send reports to one peer until it is dropped or gone."""
+        opened_at = self._clock()
+        n_dials = 0
+        while True:
+            n_dials += 1
+            with self._dial(peer.address) as sock:
+                await self._report_until_silent(peer, sock)
+            self._metrics.count("link.redials")
+            silent_s = self._clock() - max(peer.heard_at, opened_at)
+            self._log.warning("link_silent", peer=peer.id, silent_s=silent_s)
+            if n_dials > 1 and silent_s > 2 * self._silence_s(peer):
+                self._declare_gone(peer)
+                return
+
+    def _declare_gone(self, peer: _Peer) -> None:
+        assert self._view is not None
+        peer.task = None
+        self._drop(peer)
+        self._view.declare(peer.id, MemberState.GONE)
+
+    def _dial(self, address: str) -> pynng.Push0:
+        sock = pynng.Push0(send_buffer_size=SEND_BUFFER)
+        sock.reconnect_time_min = 50
+        sock.reconnect_time_max = 500
+        sock.dial(f"tcp://{address}", block=False)
+        return sock
+
+    def _silence_s(self, peer: _Peer) -> float:
+        return max(self._cfg.silence_s, 3.0 * max(peer.period_s, self.period_s))
+
+    async def _report_until_silent(self, peer: _Peer, sock: pynng.Push0) -> None:
+        dialled_at = self._clock()
+        while True:
+            self._send_report(peer, sock)
+            silence_s = self._silence_s(peer)
+            if self._clock() - max(peer.heard_at, dialled_at) > silence_s:
+                return
+            await asyncio.sleep(URGENT_GAP_S)
+            period_s = self.period_s * self._rng.uniform(0.9, 1.1)
+            try:
+                async with asyncio.timeout(max(0.0, period_s - URGENT_GAP_S)):
+                    await peer.urgent.wait()
+            except TimeoutError:
+                pass
+            peer.urgent.clear()
+
+    def _send_report(self, peer: _Peer, sock: pynng.Push0) -> None:
+        notices = self._take_notices(peer)
+        config = self.config_offset()
+        if peer.is_parent:
+            up = Up(self.address, config, self._source.build_up(), notices)
+            self._send(sock, up)
+            return
+        if self._root is None:
+            return
+        root, incarnation, depth = self._root
+        period_ms = int(self.period_s * 1000)
+        pools = self._source.build_down(peer.id)
+        down = Down(root, incarnation, depth, period_ms, config, pools, notices)
+        self._send(sock, down)
+
+    def _take_notices(self, peer: _Peer) -> list[Notice]:
+        taken: list[Notice] = []
+        for _ in range(min(len(peer.notices), MAX_NOTICES)):
+            notice, n_left = peer.notices.popleft()
+            taken.append(notice)
+            if n_left > 1:
+                peer.notices.append((notice, n_left - 1))
+        return taken
+
+    def _send(self, sock: pynng.Push0, payload: Payload) -> bool:
+        self._sequence += 1
+        own = self._own
+        data = self._codec.encode(
+            Envelope(own.id, own.incarnation, self._sequence, payload)
+        )
+        try:
+            sock.send(data, block=False)
+        except (pynng.TryAgain, pynng.Timeout):
+            self._metrics.count("link.send_blocked")
+            return False
+        self.budget.note(len(data), sent=True)
+        return True
+
+    # -- taking in
+
+    async def _receive(self) -> None:
+        assert self._listener is not None
+        while True:
+            data = await self._listener.arecv()
+            self.budget.note(len(data), sent=False)
+            try:
+                envelope = self._codec.decode(data)
+            except BadMessage as exc:
+                self._metrics.count("link.bad_messages")
+                self._log.debug("link_bad_message", reason=exc)
+                continue
+            self._take(envelope)
+
+    def _take(self, envelope: Envelope) -> None:
+        assert self._view is not None
+        sender = envelope.sender
+        order = (envelope.incarnation, envelope.sequence)
+        if sender == self._own.id or order <= self._last_sequences.get(sender, (0, 0)):
+            self._metrics.count("link.stale_messages")
+            return
+        self._last_sequences[sender] = order
+        member = self._view.heard_from(sender, envelope.incarnation, self._clock())
+        peer = self._peers.get(sender)
+        if peer is not None:
+            peer.heard_at = self._clock()
+        match envelope.payload:
+            case Up() as up:
+                self._take_up(envelope, up, member)
+            case Down() as down:
+                self._take_down(sender, down)
+            case Probe(link=link, notices=notices):
+                self._take_notices_in(notices, sender)
+                self._answer_probe(sender, link, member)
+            case RecordsQuery(link=link, after=after):
+                if self.answer_records is not None:
+                    self._send_once(link, self.answer_records(after))
+            case RecordsAnswer() as answer:
+                self.on_records(answer)
+
+    def _take_up(self, envelope: Envelope, up: Up, member: Member | None) -> None:
+        sender = envelope.sender
+        peer = self._peers.get(sender)
+        if peer is None:
+            address = member.link if member is not None and member.link else up.link
+            peer = self._open(sender, address, is_parent=False)
+        if peer.is_parent:
+            return
+        self._source.take_up(sender, envelope.incarnation, up)
+        self._note_config(sender, up.config)
+        self._take_notices_in(up.notices, sender)
+
+    def _take_down(self, sender: RouterId, down: Down) -> None:
+        peer = self._peers.get(sender)
+        self._note_config(sender, down.config)
+        self._take_notices_in(down.notices, sender)
+        if peer is None or not peer.is_parent:
+            return
+        peer.period_s = down.period_ms / 1000.0
+        self._root = (down.root, down.root_incarnation, down.depth + 1)
+        self._source.take_down(down)
+
+    def _take_notices_in(self, notices: list[Notice], sender: RouterId) -> None:
+        assert self._view is not None
+        for notice in notices:
+            if isinstance(notice, RouterNotice):
+                self._view.take_notice(notice.member)
+            else:
+                self.on_notice(notice)
+
+    def _note_config(self, sender: RouterId, offset: Offset) -> None:
+        if offset > self.config_offset():
+            self.on_config_ahead(sender, offset)
+
+    # -- messages outside the tree
+
+    def _send_once(self, address: str, payload: Payload) -> None:
+        """Send one message on a socket of its own."""
+        task = asyncio.create_task(self._send_and_close(address, payload))
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+
+    async def _send_and_close(self, address: str, payload: Payload) -> None:
+        with self._dial(address) as sock:
+            for _ in range(20):
+                if self._send(sock, payload):
+                    break
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.5)
+
+    def query_records(self, after: Offset) -> bool:
+        """Ask one present router for configuration above an offset."""
+        assert self._view is not None
+        others = [m for m in self._view.present() if m.id != self._own.id and m.link]
+        if not others:
+            return False
+        chosen = self._rng.choice(sorted(others, key=lambda member: member.id))
+        self._send_once(chosen.link, RecordsQuery(self.address, after))
+        return True
+
+    async def _probe_lost(self) -> None:
+        """Look now and then whether a router that was lost is back."""
+        assert self._view is not None
+        while True:
+            await asyncio.sleep(PROBE_PERIOD_S * self._rng.uniform(0.7, 1.3))
+            lost = [
+                member
+                for member in self._view.members()
+                if member.listed and member.state is MemberState.GONE and member.link
+            ]
+            if lost:
+                member = self._rng.choice(sorted(lost, key=lambda m: m.id))
+                news = [RouterNotice(member.notice), RouterNotice(self._own.notice)]
+                self._send_once(member.link, Probe(self.address, news))
+
+    def _answer_probe(self, sender: RouterId, link: str, member: Member | None) -> None:
+        """Tell a router that came back what is said of it, so that it refutes."""
+        address = member.link if member is not None and member.link else link
+        notices: list[Notice] = [RouterNotice(self._own.notice)]
+        if member is not None:
+            notices.append(RouterNotice(member.notice))
+        if member is None or member.state is MemberState.GONE:
+            self._send_once(address, Probe(self.address, notices))
--- /dev/null
+++ b/src/chicorylead/outcome/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes: claims that make a request run at most once, poison requests."""
--- /dev/null
+++ b/src/chicorylead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's interfaces, and a client for them over HTTP."""
--- /dev/null
+++ b/src/chicorylead/platform/http.py
@@ -0,0 +1,86 @@
+"""Client of a platform that offers its interfaces over HTTP."""
+
+from typing import TypeVar
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+
+from chicorylead.ids import Offset
+from chicorylead.platform.api import LogPage, PlatformUnavailable, VmList
+from chicorylead.settings import PlatformSettings
+
+__all__ = ["HttpPlatform"]
+
+T = TypeVar("T")
+
+
+class HttpPlatform:
+    """Speak to the platform over HTTP.
+
+    Args:
+        cfg: Where the platform is.
+        viewer: Id of this process, told to the platform with each call.
+    """
+
+    def __init__(self, cfg: PlatformSettings, viewer: str) -> None:
+        self._cfg = cfg
+        headers = {"Authorization": f"Bearer {cfg.token}", "X-Viewer": viewer}
+        connector = TCPConnector(limit=16, keepalive_timeout=15.0)
+        self._session = ClientSession(connector=connector, headers=headers)
+
+    async def append(self, stream: str, data: str) -> Offset:
+        """Append an entry and return its offset."""
+        body = await self._call("POST", f"/log/{stream}", data.encode())
+        return self._decode(body, _Appended).offset
+
+    async def read(
+        self, stream: str, start: Offset, limit: int = 500, wait_s: float = 0.0
+    ) -> LogPage:
+        """Read entries from an offset, waiting for one if there is none yet."""
+        path = f"/log/{stream}?from={start}&limit={limit}&wait_ms={int(wait_s * 1e3)}"
+        body = await self._call("GET", path, extra_s=wait_s)
+        return self._decode(body, LogPage)
+
+    async def list_vms(self, since: int = 0) -> VmList:
+        """Return the list of VMs, or what changed since a version."""
+        return self._decode(await self._call("GET", f"/vms?since={since}"), VmList)
+
+    async def reserve_weights(self, model: str) -> float:
+        """Ask for a transfer of weights; return the wait in seconds, 0 if granted."""
+        body = await self._call("POST", f"/weights/{model}/reserve")
+        return self._decode(body, _Reserved).wait_s
+
+    async def close(self) -> None:
+        """Release connections."""
+        await self._session.close()
+
+    async def _call(
+        self, method: str, path: str, data: bytes | None = None, extra_s: float = 0.0
+    ) -> bytes:
+        timeout = ClientTimeout(total=self._cfg.request_timeout_s + extra_s)
+        url = self._cfg.url + path
+        try:
+            async with self._session.request(
+                method, url, data=data, timeout=timeout
+            ) as resp:
+                body = await resp.read()
+                if resp.status != 200:
+                    raise PlatformUnavailable(f"{method} {path}: {resp.status}")
+                return body
+        except (TimeoutError, ClientError, OSError) as exc:
+            reason = str(exc) or type(exc).__name__
+            raise PlatformUnavailable(f"{method} {path}: {reason}") from exc
+
+    def _decode(self, body: bytes, type_: type[T]) -> T:
+        try:
+            return msgspec.json.decode(body, type=type_)
+        except msgspec.DecodeError as exc:
+            raise PlatformUnavailable(f"answer does not decode: {exc}") from exc
+
+
+class _Appended(msgspec.Struct):
+    offset: Offset
+
+
+class _Reserved(msgspec.Struct):
+    wait_s: float
--- /dev/null
+++ b/src/chicorylead/records/store.py
@@ -0,0 +1,194 @@
+"""The records in force: the highest offset for each kind and name, for ever.
+
+The store is fed from the log, from checkpoints in the log and from peers, in any
+order and any number of times; it ends in the same state.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+
+from msgspec import Struct
+
+from chicorylead.errors import Refusal
+from chicorylead.ids import Offset, OrganisationId, ServiceName
+from chicorylead.records.model import (
+    Contract,
+    Model,
+    Organisation,
+    Policy,
+    RecordKind,
+    Service,
+    Upstream,
+)
+from chicorylead.records.schema import Record, to_model
+
+__all__ = ["RecordStore", "VersionedRecord"]
+
+N_REMEMBERED_PUBLISH_IDS = 5000
+
+
+class VersionedRecord(Struct, frozen=True):
+    """A record with the offset of the log at which it was accepted."""
+
+    offset: Offset
+    record: Record
+
+
+class RecordStore:
+    """Hold the records in force and answer the look-ups of the data path.
+
+    Attributes:
+        covered: Every log entry at or below this offset has been taken in.
+        n_changes: Counts changes; a cheap way to notice that something changed.
+    """
+
+    def __init__(self) -> None:
+        self.covered = Offset(0)
+        self.n_changes = 0
+        self._versions: dict[tuple[str, str], VersionedRecord] = {}
+        self._models: dict[RecordKind, dict[str, Model]] = {k: {} for k in RecordKind}
+        self._publish_ids: OrderedDict[str, Offset] = OrderedDict()
+        self._by_token: dict[str, OrganisationId] = {}
+        self._contracts: dict[OrganisationId, list[Contract]] = {}
+        self._upstreams: dict[ServiceName, list[Upstream]] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of what is in force."""
+        self._listeners.append(listener)
+
+    # -- taking records in
+
+    def apply_entry(self, offset: Offset, record: Record) -> bool:
+        """Take in a record read from the log, in the order of the log.
+
+        The condition of the record is judged here, alike on every router: it is
+        void unless the version that it names is the one in force.
+
+        Returns:
+            Whether it came into force.
+        """
+        current = self.version_of(record.key)
+        if offset <= current or self._is_repeat(record):
+            return False
+        if record.if_version is not None and record.if_version != current:
+            return False
+        return self.merge([VersionedRecord(offset, record)]) > 0
+
+    def merge(self, versioned: Iterable[VersionedRecord]) -> int:
+        """Take in records that were accepted before, from a checkpoint or a peer.
+
+        Returns:
+            The number of records that are now in force and were not before.
+        """
+        n_new = 0
+        for item in versioned:
+            if item.offset > self.version_of(item.record.key):
+                self._put(item)
+                n_new += 1
+        if n_new:
+            self.n_changes += 1
+            self._rebuild()
+            for listener in self._listeners:
+                listener()
+        return n_new
+
+    def _is_repeat(self, record: Record) -> bool:
+        item = self._versions.get(record.key)
+        if item is None or not record.publish_id:
+            return False
+        return item.record.publish_id == record.publish_id
+
+    def _put(self, item: VersionedRecord) -> None:
+        record = item.record
+        self._versions[record.key] = item
+        if record.publish_id:
+            self._publish_ids[record.publish_id] = item.offset
+            while len(self._publish_ids) > N_REMEMBERED_PUBLISH_IDS:
+                self._publish_ids.popitem(last=False)
+        try:
+            kind = RecordKind(record.kind)
+        except ValueError:
+            return
+        models = self._models[kind]
+        if record.deleted:
+            models.pop(record.name, None)
+            return
+        try:
+            models[record.name] = to_model(record)
+        except Refusal:
+            # A newer schema that this version cannot read: the older meaning
+            # stays in use, and the record itself is kept and passed on.
+            return
+
+    def _rebuild(self) -> None:
+        self._by_token = {
+            digest: org.name
+            for org in self._models[RecordKind.ORGANISATION].values()
+            for digest in org.token_sha256
+        }
+        self._contracts = {}
+        for contract in self._models[RecordKind.CONTRACT].values():
+            self._contracts.setdefault(contract.organisation, []).append(contract)
+        self._upstreams = {}
+        for upstream in self._models[RecordKind.UPSTREAM].values():
+            self._upstreams.setdefault(upstream.service, []).append(upstream)
+        for upstreams in self._upstreams.values():
+            upstreams.sort(key=lambda item: item.name)
+
+    # -- versions
+
+    def version_of(self, key: tuple[str, str]) -> Offset:
+        """Return the offset in force for a kind and name; 0 when there is none."""
+        item = self._versions.get(key)
+        return item.offset if item else Offset(0)
+
+    def offset_of_publish(self, publish_id: str) -> Offset | None:
+        """Return where a change came into force, if it is remembered."""
+        return self._publish_ids.get(publish_id)
+
+    def versions(self, after: int = -1) -> list[VersionedRecord]:
+        """Return records in force above an offset, in the order of the log."""
+        found = [item for item in self._versions.values() if item.offset > after]
+        return sorted(found, key=lambda item: item.offset)
+
+    @property
+    def highest(self) -> Offset:
+        """Return the highest offset in force; 0 when there is none."""
+        return max((v.offset for v in self._versions.values()), default=Offset(0))
+
+    # -- look-ups of the data path
+
+    def organisation_of_token(self, digest: str) -> OrganisationId | None:
+        """Return the organisation that a credential digest belongs to."""
+        return self._by_token.get(digest)
+
+    def organisation(self, name: OrganisationId) -> Organisation | None:
+        """Return an organisation."""
+        return self._models[RecordKind.ORGANISATION].get(name)
+
+    def contracts(self, organisation: OrganisationId) -> list[Contract]:
+        """Return the contracts of an organisation."""
+        return self._contracts.get(organisation, [])
+
+    def share(self, organisation: OrganisationId) -> float:
+        """Return the share of an organisation: its largest contract's."""
+        shares = [contract.share for contract in self.contracts(organisation)]
+        return max(shares, default=0.0)
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service."""
+        return self._models[RecordKind.SERVICE].get(name)
+
+    def services(self) -> Iterator[Service]:
+        """Iterate over all services."""
+        yield from self._models[RecordKind.SERVICE].values()
+
+    def upstreams(self, service: ServiceName) -> list[Upstream]:
+        """Return the upstreams of a service, ordered by name."""
+        return self._upstreams.get(service, [])
+
+    @property
+    def policy(self) -> Policy:
+        """Return the policy named default, or the built-in one."""
+        return self._models[RecordKind.POLICY].get("default") or Policy("default")
--- /dev/null
+++ b/src/chicorylead/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators: service levels and their burn."""
--- /dev/null
+++ b/src/chicorylead/request.py
@@ -0,0 +1,44 @@
+"""A caller's request, checked and joined with the records it touches."""
+
+from dataclasses import dataclass
+
+from chicorylead.ids import IdempotencyKey, OrganisationId, RequestId
+from chicorylead.records.model import Operation, Service
+
+__all__ = ["CallerRequest"]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """What a caller asked for.
+
+    Attributes:
+        share: Share of the organisation.
+        deadline: Event-loop time by which the answer is wanted, seconds.
+        hint: The caller's own estimate of the cost, in cost units.
+        prefix: Start of the prompt, for the prefix cache.
+        fingerprint: Identifies the content, whoever sends it.
+    """
+
+    id: RequestId
+    organisation: OrganisationId
+    share: float
+    service: Service
+    operation: str
+    rules: Operation
+    body: bytes
+    deadline: float
+    fingerprint: str
+    key: IdempotencyKey | None = None
+    hint: float | None = None
+    prefix: str = ""
+
+    @property
+    def is_once(self) -> bool:
+        """Tell whether the request must not run twice."""
+        return not self.rules.idempotent
+
+    @property
+    def claim_key(self) -> str:
+        """Return the key under which it is claimed."""
+        return f"{self.organisation}/{self.service.name}/{self.key}"
--- /dev/null
+++ b/src/chicorylead/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: callers' and operators' interfaces, dispatch, life cycle."""
--- /dev/null
+++ b/src/chicorylead/router/callers.py
@@ -0,0 +1,463 @@
+"""The callers' interface: old form, new form, addresses, outcomes."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import wraps
+from random import Random
+
+import msgspec
+from msgspec import Struct
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import PlainTextResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from chicorylead.errors import ErrorKind, Refusal, RunState
+from chicorylead.ids import IdempotencyKey, OrganisationId, RequestId, ServiceName
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.outcome.claim import OutcomeState
+from chicorylead.outcome.claimer import Claimer
+from chicorylead.outcome.poison import fingerprint_of
+from chicorylead.platform.api import PlatformUnavailable
+from chicorylead.records.model import Operation, Service, ServiceType
+from chicorylead.records.store import RecordStore
+from chicorylead.report.levels import LevelBook
+from chicorylead.request import CallerRequest
+from chicorylead.router.answers import error_body, error_response, json_response
+from chicorylead.router.auth import organisation_of
+from chicorylead.router.dispatch import Dispatcher
+from chicorylead.router.openapi import OPENAPI
+from chicorylead.settings import RouterSettings
+from chicorylead.upstream.exchange import PlainAnswer
+from chicorylead.vm.address import answer_address
+from chicorylead.vm.view import FleetView
+
+__all__ = ["CallerInterface"]
+
+MAX_KEY_LENGTH = 200
+MAX_REQUEST_ID_LENGTH = 64
+CLASS_HINTS = {"short": 16.0, "long": 1024.0}
+PREFIX_CHARS = 64
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class _Peek(Struct):
+    """The fields of a body that the router itself looks at."""
+
+    prompt: str = ""
+
+
+_peek_decoder = msgspec.json.Decoder(_Peek)
+
+
+class CallerInterface:
+    """Routes for callers.
+
+    Args:
+        cfg: Settings of the router.
+        store: Records in force.
+        view: View of the fleet.
+        dispatcher: Carries requests.
+        claimer: Knows the outcome of idempotency keys.
+        levels: Counts service levels.
+        is_ready: Tells whether a complete configuration is in force.
+        rng: Source of request ids.
+    """
+
+    def __init__(
+        self,
+        cfg: RouterSettings,
+        store: RecordStore,
+        view: FleetView,
+        dispatcher: Dispatcher,
+        claimer: Claimer,
+        levels: LevelBook,
+        is_ready: Callable[[], bool],
+        log: EventLog,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        self._cfg = cfg
+        self._store = store
+        self._view = view
+        self._dispatcher = dispatcher
+        self._claimer = claimer
+        self._levels = levels
+        self._is_ready = is_ready
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._clock = asyncio.get_running_loop().time
+        self._active: dict[tuple[OrganisationId, str], asyncio.Task[object]] = {}
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            self._route("/v1/address", self._address, "GET"),
+            self._route("/v1/address.txt", self._address_text, "GET"),
+            self._route("/v1/{service}/{operation}", self._old_form, "POST"),
+            self._route("/v2/requests/{id}", self._cancel, "DELETE"),
+            self._route("/v2/outcomes/{service}/{key}", self._outcome, "GET"),
+            self._route("/v2/{service}/{operation}", self._new_form, "POST"),
+            self._route("/openapi.json", self._openapi, "GET"),
+        ]
+
+    def _route(self, path: str, handler: Handler, method: str) -> Route:
+        return Route(path, answering_refusals(handler, self._log), methods=[method])
+
+    # -- addresses
+
+    async def _address(self, request: Request) -> Response:
+        answer = answer_address(
+            self._view,
+            self._optional_organisation(request),
+            request.query_params.get("zone"),
+            self._cfg.timeouts.address_lifetime_s,
+        )
+        return json_response(answer)
+
+    async def _address_text(self, request: Request) -> Response:
+        answer = answer_address(
+            self._view,
+            self._optional_organisation(request),
+            request.query_params.get("zone"),
+            self._cfg.timeouts.address_lifetime_s,
+        )
+        lines = [entry.address for entry in answer.addresses]
+        headers = {"Cache-Control": f"max-age={int(answer.lifetime_s)}"}
+        return PlainTextResponse("\n".join(lines) + "\n", headers=headers)
+
+    def _optional_organisation(self, request: Request) -> OrganisationId | None:
+        try:
+            return organisation_of(request.headers.get("authorization"), self._store)
+        except Refusal:
+            # Addresses are no secret: an operator or a device with an old
+            # credential gets them too, without the steering.
+            return None
+
+    async def _openapi(self, request: Request) -> Response:
+        return json_response(OPENAPI)
+
+    # -- requests
+
+    async def _old_form(self, request: Request) -> Response:
+        req = await self._parse(request)
+        return await self._answer_whole(request, req)
+
+    async def _new_form(self, request: Request) -> Response:
+        req = await self._parse(request)
+        wants_stream = "text/event-stream" in request.headers.get("accept", "")
+        if wants_stream and req.service.type is ServiceType.ENGINE:
+            return await self._answer_stream(req)
+        return await self._answer_whole(request, req)
+
+    async def _answer_whole(self, request: Request, req: CallerRequest) -> Response:
+        """Answer with one body, and give up when the caller goes."""
+        started = self._clock()
+        task = asyncio.create_task(self._whole(req))
+        gone = asyncio.create_task(_wait_for_disconnect(request))
+        self._active[req.organisation, req.id] = task
+        try:
+            await asyncio.wait([task, gone], return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                task.cancel()
+                await asyncio.wait([task])
+                raise Refusal(ErrorKind.CALLER_GONE, "the caller closed the connection")
+            if task.cancelled():
+                raise Refusal(ErrorKind.CALLER_GONE, "the request was cancelled")
+            answer = task.result()
+            self._note_end(req, started, self._clock() - started, None)
+        except Refusal as exc:
+            self._note_end(req, started, None, exc)
+            return error_response(exc, req.id)
+        finally:
+            gone.cancel()
+            task.cancel()
+            self._active.pop((req.organisation, req.id), None)
+        headers = {
+            "Chicorylead-Request-Id": req.id,
+            "Chicorylead-Run-State": RunState.RAN.value,
+        }
+        return Response(answer.body, answer.status, headers, answer.content_type)
+
+    async def _whole(self, req: CallerRequest) -> PlainAnswer:
+        if req.service.type is ServiceType.PLAIN:
+            return await self._dispatcher.call(req)
+        parts = [data async for data in self._dispatcher.stream(req)]
+        tokens = _tokens_of(b"".join(parts))
+        body = {"text": " ".join(tokens), "n_tokens": len(tokens), "request": req.id}
+        return PlainAnswer(200, "application/json", msgspec.json.encode(body))
+
+    async def _answer_stream(self, req: CallerRequest) -> Response:
+        """Answer with events; the status is sent once the first one is there."""
+        started = self._clock()
+        source = self._dispatcher.stream(req)
+        try:
+            first = await anext(source, b"")
+        except Refusal as exc:
+            self._note_end(req, started, None, exc)
+            return error_response(exc, req.id)
+        first_byte_s = self._clock() - started
+        events = self._events(req, first, source, started, first_byte_s)
+        headers = {"Chicorylead-Request-Id": req.id, "Cache-Control": "no-store"}
+        return StreamingResponse(events, 200, headers, "text/event-stream")
+
+    async def _events(
+        self,
+        req: CallerRequest,
+        first: bytes,
+        source: AsyncIterator[bytes],
+        started: float,
+        first_byte_s: float,
+    ) -> AsyncIterator[bytes]:
+        """Pass events on, and close with an event that tells how it ended."""
+        task = asyncio.current_task()
+        if task is not None:
+            self._active[req.organisation, req.id] = task
+        try:
+            if first:
+                yield first
+            async for data in source:
+                yield data
+            yield _last_event("done", {"request": req.id})
+            self._note_end(req, started, first_byte_s, None)
+        except Refusal as exc:
+            self._note_end(req, started, first_byte_s, exc)
+            yield _last_event("error", error_body(exc, req.id))
+        finally:
+            self._active.pop((req.organisation, req.id), None)
+            await source.aclose()  # type: ignore[attr-defined]
+
+    def _note_end(
+        self,
+        req: CallerRequest,
+        started: float,
+        first_byte_s: float | None,
+        exc: Refusal | None,
+    ) -> None:
+        whole_s = self._clock() - started
+        kind = exc.kind if exc is not None else None
+        self._metrics.count(f"request.{kind.value if kind else 'ok'}")
+        self._metrics.timing("request.whole", whole_s)
+        self._levels.note(req, first_byte_s, whole_s, kind)
+        self._log.info(
+            "request",
+            request=req.id,
+            organisation=req.organisation,
+            service=req.service.name,
+            operation=req.operation,
+            error=kind or "none",
+            whole_s=whole_s,
+        )
+
+    # -- reading a request
+
+    async def _parse(self, request: Request) -> CallerRequest:
+        organisation = organisation_of(
+            request.headers.get("authorization"), self._store
+        )
+        if not self._is_ready():
+            raise Refusal(ErrorKind.NOT_READY, "no complete configuration is in force")
+        service = self._service(request)
+        operation = request.path_params["operation"]
+        rules = service.operations.get(operation)
+        if rules is None:
+            raise Refusal(
+                ErrorKind.NOT_FOUND,
+                f"service {service.name!r} has no operation {operation[:64]!r}",
+            )
+        self._check_contract(organisation, service, operation)
+        body = await self._read_body(request)
+        prefix = self._check_body(body)
+        key = self._key(request, rules, body)
+        deadline_s = self._deadline_s(request)
+        return CallerRequest(
+            id=self._request_id(request),
+            organisation=organisation,
+            share=self._store.share(organisation),
+            service=service,
+            operation=operation,
+            rules=rules,
+            body=body,
+            deadline=self._clock() + deadline_s,
+            fingerprint=fingerprint_of(service.name, operation, body),
+            key=key,
+            hint=_hint(request),
+            prefix=prefix,
+        )
+
+    def _service(self, request: Request) -> Service:
+        name = ServiceName(request.path_params["service"])
+        service = self._store.service(name)
+        if service is None:
+            raise Refusal(ErrorKind.NOT_FOUND, f"no service {name[:64]!r}")
+        return service
+
+    def _check_contract(
+        self, organisation: OrganisationId, service: Service, operation: str
+    ) -> None:
+        contracts = self._store.contracts(organisation)
+        if not any(c.allows(service.name, operation) for c in contracts):
+            raise Refusal(
+                ErrorKind.FORBIDDEN,
+                f"organisation {organisation!r} has no contract for "
+                f"{service.name}/{operation}",
+            )
+
+    async def _read_body(self, request: Request) -> bytes:
+        limit = self._cfg.limits.body_bytes
+        declared = request.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > limit:
+            raise Refusal(ErrorKind.TOO_LARGE, f"the body exceeds {limit} bytes")
+        parts: list[bytes] = []
+        n_bytes = 0
+        async for part in request.stream():
+            n_bytes += len(part)
+            if n_bytes > limit:
+                raise Refusal(ErrorKind.TOO_LARGE, f"the body exceeds {limit} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+    def _check_body(self, body: bytes) -> str:
+        try:
+            return _peek_decoder.decode(body).prompt[:PREFIX_CHARS]
+        except (msgspec.DecodeError, RecursionError) as exc:
+            raise Refusal(ErrorKind.BAD_REQUEST, f"body: {exc}") from exc
+
+    def _key(
+        self, request: Request, rules: Operation, body: bytes
+    ) -> IdempotencyKey | None:
+        key = request.headers.get("idempotency-key")
+        if key is None and rules.key_field is not None:
+            value = msgspec.json.decode(body).get(rules.key_field)
+            key = None if value is None else str(value)
+        if key is None:
+            return None
+        if not 0 < len(key) <= MAX_KEY_LENGTH or not key.isprintable():
+            raise Refusal(
+                ErrorKind.BAD_REQUEST,
+                f"idempotency key must have 1 to {MAX_KEY_LENGTH} printable characters",
+            )
+        return IdempotencyKey(key)
+
+    def _deadline_s(self, request: Request) -> float:
+        timeouts = self._cfg.timeouts
+        text = request.headers.get("chicorylead-deadline-ms")
+        if text is None:
+            return timeouts.default_deadline_s
+        if not text.isdigit() or not 0 < int(text) <= timeouts.max_deadline_s * 1000:
+            raise Refusal(
+                ErrorKind.BAD_REQUEST,
+                f"Chicorylead-Deadline-Ms must be 1 to {timeouts.max_deadline_s:.0f}000"
+                f", not {text[:32]!r}",
+            )
+        return int(text) / 1000.0
+
+    def _request_id(self, request: Request) -> RequestId:
+        given = request.headers.get("chicorylead-request-id")
+        if given is None:
+            return RequestId(f"{self._rng.getrandbits(64):016x}")
+        if not 0 < len(given) <= MAX_REQUEST_ID_LENGTH or not given.isalnum():
+            raise Refusal(
+                ErrorKind.BAD_REQUEST,
+                f"Chicorylead-Request-Id must have 1 to {MAX_REQUEST_ID_LENGTH} "
+                "letters and digits",
+            )
+        return RequestId(given)
+
+    # -- afterwards
+
+    async def _cancel(self, request: Request) -> Response:
+        organisation = organisation_of(
+            request.headers.get("authorization"), self._store
+        )
+        request_id = request.path_params["id"]
+        task = self._active.get((organisation, request_id))
+        if task is None:
+            raise Refusal(ErrorKind.NOT_FOUND, f"no request {request_id[:64]!r} here")
+        task.cancel()
+        return json_response({"cancelled": request_id})
+
+    async def _outcome(self, request: Request) -> Response:
+        organisation = organisation_of(
+            request.headers.get("authorization"), self._store
+        )
+        service, key = request.path_params["service"], request.path_params["key"]
+        try:
+            state = await self._claimer.look_up(f"{organisation}/{service}/{key}")
+        except PlatformUnavailable as exc:
+            raise Refusal(ErrorKind.LOG_UNAVAILABLE, str(exc)) from exc
+        if state is None:
+            raise Refusal(ErrorKind.NOT_FOUND, f"nothing is known of key {key[:64]!r}")
+        outcome = state.outcome
+        if outcome is None:
+            return json_response({"state": "in_progress"})
+        if outcome.state is OutcomeState.UNKNOWN:
+            return json_response({"state": "unknown"})
+        body = {
+            "state": "answered",
+            "status": outcome.status,
+            "content_type": outcome.content_type,
+            "body": outcome.body,
+        }
+        return json_response(body)
+
+
+def answering_refusals(handler: Handler, log: EventLog) -> Handler:
+    """Wrap a handler so that every failure gets its answer from the table."""
+
+    @wraps(handler)
+    async def wrapped(request: Request) -> Response:
+        try:
+            return await handler(request)
+        except Refusal as exc:
+            return error_response(exc)
+        except ClientDisconnect:
+            return error_response(
+                Refusal(ErrorKind.CALLER_GONE, "the caller closed the connection")
+            )
+        except Exception as exc:
+            log.error("handler_failed", path=request.url.path, error=repr(exc))
+            return error_response(Refusal(ErrorKind.INTERNAL, type(exc).__name__))
+
+    return wrapped
+
+
+async def _wait_for_disconnect(request: Request) -> None:
+    while (await request.receive())["type"] != "http.disconnect":
+        pass
+
+
+def _tokens_of(events: bytes) -> list[str]:
+    """Return the data of each event."""
+    text = events.decode("utf-8", "replace")
+    return [line[6:] for line in text.split("\n") if line.startswith("data: ")]
+
+
+def _last_event(event: str, body: dict[str, object]) -> bytes:
+    return f"event: {event}\ndata: ".encode() + msgspec.json.encode(body) + b"\n\n"
+
+
+def _hint(request: Request) -> float | None:
+    text = request.headers.get("chicorylead-cost-hint")
+    if text is not None:
+        try:
+            value = float(text)
+        except ValueError:
+            value = 0.0
+        if not 0 < value < 1e9:
+            raise Refusal(
+                ErrorKind.BAD_REQUEST,
+                f"Chicorylead-Cost-Hint must be a positive number, not {text[:32]!r}",
+            )
+        return value
+    label = request.headers.get("chicorylead-class")
+    if label is None:
+        return None
+    if label not in CLASS_HINTS:
+        raise Refusal(
+            ErrorKind.BAD_REQUEST,
+            f"Chicorylead-Class must be short or long, not {label[:32]!r}",
+        )
+    return CLASS_HINTS[label]
--- /dev/null
+++ b/src/chicorylead/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Fair sharing of upstream capacity between organisations and routers."""
--- /dev/null
+++ b/src/chicorylead/sharing/cost.py
@@ -0,0 +1,105 @@
+"""Predict what a request will cost from what earlier ones of its kind cost."""
+
+from dataclasses import dataclass, field
+from math import exp, log
+
+from chicorylead.ids import OrganisationId
+
+__all__ = ["CostModel", "LengthClass"]
+
+SMOOTHING = 0.1
+MIN_SAMPLES = 5
+MAX_KINDS = 20_000
+LONG_RATIO = 4.0
+SECOND = 1.0
+
+
+@dataclass(slots=True)
+class _Kind:
+    """Running mean of the logarithm of cost, for one kind of request."""
+
+    n_samples: int = 0
+    mean_log: float = 0.0
+    mean_sq_dev: float = 0.0
+
+    def add(self, cost: float) -> None:
+        value = log(max(cost, 1e-3))
+        self.n_samples += 1
+        rate = max(SMOOTHING, 1.0 / self.n_samples)
+        deviation = value - self.mean_log
+        self.mean_log += rate * deviation
+        self.mean_sq_dev += rate * (deviation * deviation - self.mean_sq_dev)
+
+    @property
+    def typical(self) -> float:
+        return exp(self.mean_log)
+
+
+@dataclass(frozen=True, slots=True)
+class LengthClass:
+    """What is expected of a request.
+
+    Attributes:
+        cost: Expected cost, in cost units.
+        is_long: Whether it is expected to hold a slot much longer than most.
+    """
+
+    cost: float
+    is_long: bool
+
+
+@dataclass(slots=True)
+class CostModel:
+    """Learn cost by organisation, operation and coarse size of the hint.
+
+    Attributes:
+        prior: Cost expected of a request of an unknown kind.
+    """
+
+    prior: float
+    _kinds: dict[tuple[str, str, int], _Kind] = field(default_factory=dict)
+    _all: _Kind = field(default_factory=_Kind)
+
+    def predict(
+        self, organisation: OrganisationId, operation: str, hint: float | None
+    ) -> LengthClass:
+        """Return what a request is expected to cost.
+
+        Args:
+            organisation: Who sends it.
+            operation: Operation of the service.
+            hint: The caller's own estimate, in cost units; only a prior.
+        """
+        kind = self._kinds.get((organisation, operation, _size(hint)))
+        if kind is not None and kind.n_samples >= MIN_SAMPLES:
+            cost = kind.typical
+        elif hint is not None and hint > 0:
+            cost = hint
+        else:
+            cost = self._typical()
+        return LengthClass(cost, cost > LONG_RATIO * self._typical())
+
+    def learn(
+        self,
+        organisation: OrganisationId,
+        operation: str,
+        hint: float | None,
+        cost: float,
+    ) -> None:
+        """Take in the true cost of a request that ended."""
+        key = (organisation, operation, _size(hint))
+        kind = self._kinds.get(key)
+        if kind is None:
+            if len(self._kinds) >= MAX_KINDS:
+                self._kinds.pop(next(iter(self._kinds)))
+            kind = self._kinds[key] = _Kind()
+        kind.add(cost)
+        self._all.add(cost)
+
+    def _typical(self) -> float:
+        return self._all.typical if self._all.n_samples >= MIN_SAMPLES else self.prior
+
+
+def _size(hint: float | None) -> int:
+    """Return the binary order of magnitude of a hint; -1 without one."""
+    return -1 if hint is None or hint <= 0 else int(hint).bit_length()
--- /dev/null
+++ b/src/chicorylead/sharing/exchange.py
@@ -0,0 +1,258 @@
+"""What routers tell each other about pools, added up along the reporting tree.
+
+Up the tree go sums of demand and service; down come the price of each pool and
+the fleet's totals for the organisations that a child reported. No message is sent
+for a request.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from math import inf
+
+from chicorylead.ids import Incarnation, OrganisationId, RouterId, ServiceName
+from chicorylead.link.message import Demand, Down, PoolDown, PoolUp, Up
+from chicorylead.sharing.pool import FairPool, FleetState
+from chicorylead.sharing.split import price
+from chicorylead.vm.rendezvous import hash64
+
+__all__ = ["FleetExchange", "organisation_number"]
+
+HUNDREDTHS = 100
+CHILD_TTL_S = 3.0
+QUIET_S = 5.0
+
+
+def organisation_number(organisation: OrganisationId) -> int:
+    """Return the number that stands for an organisation in reports."""
+    return hash64("organisation", organisation) & 0xFFFFFFFF
+
+
+@dataclass(slots=True)
+class _ChildReport:
+    """Last report of one child about one pool."""
+
+    at: float
+    incarnation: Incarnation
+    n_routers: int = 0
+    demands: dict[int, int] = field(default_factory=dict)
+    served: dict[int, int] = field(default_factory=dict)
+
+
+class _PoolSums:
+    """Sums of one pool over this router and all that report to it."""
+
+    def __init__(self, pool: FairPool) -> None:
+        self.pool = pool
+        self.children: dict[RouterId, _ChildReport] = {}
+        self.served: dict[int, int] = {}
+        self.down: PoolDown | None = None
+        self._own_served: dict[int, int] = {}
+        self._changed_at: dict[int, float] = {}
+        self.names: dict[int, OrganisationId] = {}
+        self.reported: dict[OrganisationId, float] = {}
+
+    def take_up(
+        self, child: RouterId, incarnation: Incarnation, up: PoolUp, now: float
+    ) -> None:
+        report = self.children.get(child)
+        if report is None or report.incarnation != incarnation:
+            report = self.children[child] = _ChildReport(now, incarnation)
+        report.at = now
+        report.n_routers = up.n_routers
+        report.demands = {}
+        for number, (demand, served) in up.organisations.items():
+            report.demands[number] = demand
+            before = report.served.get(number, served)
+            report.served[number] = max(before, served)
+            self._add(number, max(0, served - before), now)
+
+    def drop_child(self, child: RouterId) -> None:
+        self.children.pop(child, None)
+
+    def add_own(self, now: float) -> dict[int, int]:
+        """Add this router's service to the sums and return its demand."""
+        for organisation, account in self.pool.ledger.accounts().items():
+            number = self._number(organisation)
+            served = int(account.served)
+            self._add(number, served - self._own_served.get(number, 0), now)
+            self._own_served[number] = served
+        return {
+            self._number(organisation): int(demand * HUNDREDTHS)
+            for organisation, demand in self.pool.demands().items()
+        }
+
+    def sums(self, now: float) -> tuple[int, dict[int, Demand]]:
+        """Return the number of routers and the sums by organisation."""
+        demands = self.add_own(now)
+        self.reported = {
+            self.names[number]: demand / HUNDREDTHS
+            for number, demand in demands.items()
+        }
+        n_routers = 1
+        for child, report in list(self.children.items()):
+            if report.at < now - CHILD_TTL_S:
+                del self.children[child]
+                continue
+            n_routers += report.n_routers
+            for number, demand in report.demands.items():
+                demands[number] = demands.get(number, 0) + demand
+        active = {n for n, at in self._changed_at.items() if at > now - QUIET_S}
+        active.update(demands)
+        return n_routers, {
+            n: (demands.get(n, 0), self.served.get(n, 0)) for n in active
+        }
+
+    def _add(self, number: int, grown: int, now: float) -> None:
+        if grown > 0 or number not in self.served:
+            self.served[number] = self.served.get(number, 0) + grown
+            self._changed_at[number] = now
+
+    def _number(self, organisation: OrganisationId) -> int:
+        number = organisation_number(organisation)
+        self.names[number] = organisation
+        return number
+
+
+class FleetExchange:
+    """Build and take in the pool parts of reports.
+
+    Args:
+        router: This router.
+        incarnation: Its incarnation.
+        share_of: Returns the share of an organisation number; 0 when unknown.
+        n_slots: Returns the slots of a pool.
+    """
+
+    def __init__(
+        self,
+        router: RouterId,
+        incarnation: Incarnation,
+        share_of: Callable[[int], float],
+        n_slots: Callable[[ServiceName], float],
+    ) -> None:
+        self._router = router
+        self._incarnation = incarnation
+        self._share_of = share_of
+        self._n_slots = n_slots
+        self._sums: dict[ServiceName, _PoolSums] = {}
+        self._clock = asyncio.get_running_loop().time
+        self._sent_demand = 0.0
+
+    def add_pool(self, pool: FairPool) -> None:
+        """Include a pool in reports."""
+        self._sums[pool.service] = _PoolSums(pool)
+
+    def pools(self) -> Iterable[FairPool]:
+        """Iterate over the pools."""
+        return [sums.pool for sums in self._sums.values()]
+
+    # -- towards the parent
+
+    def build_up(self) -> dict[str, PoolUp]:
+        """Return the sums for the parent."""
+        now = self._clock()
+        pools: dict[str, PoolUp] = {}
+        for service, sums in self._sums.items():
+            n_routers, organisations = sums.sums(now)
+            sums.pool.ledger.mark_report(now)
+            if organisations:
+                pools[service] = PoolUp(n_routers, organisations)
+        self._sent_demand = self._demand()
+        return pools
+
+    def take_up(self, child: RouterId, incarnation: Incarnation, up: Up) -> None:
+        """Take in the report of a child."""
+        now = self._clock()
+        for service, sums in self._sums.items():
+            pool_up = up.pools.get(service) or PoolUp(1, {})
+            sums.take_up(child, incarnation, pool_up, now)
+
+    def drop_child(self, child: RouterId) -> None:
+        """Forget the demand of a child that is gone or has another parent."""
+        for sums in self._sums.values():
+            sums.drop_child(child)
+
+    def demand_moved(self) -> bool:
+        """Tell whether demand changed enough to report before the period ends."""
+        demand = self._demand()
+        return abs(demand - self._sent_demand) > max(2.0, 0.25 * self._sent_demand)
+
+    def _demand(self) -> float:
+        return sum(sum(s.pool.demands().values()) for s in self._sums.values())
+
+    # -- from the parent, or at the root
+
+    def close_round(self) -> None:
+        """Act as the root: set prices from the sums of this router."""
+        now = self._clock()
+        for service, sums in self._sums.items():
+            n_routers, organisations = sums.sums(now)
+            sums.pool.ledger.mark_report(now)
+            n_slots = self._n_slots(service)
+            pairs = [
+                (demand / HUNDREDTHS, self._share_of(number))
+                for number, (demand, _) in organisations.items()
+            ]
+            level = price(pairs, n_slots)
+            down = PoolDown(
+                -1 if level == inf else int(level * HUNDREDTHS),
+                int(n_slots * HUNDREDTHS),
+                int(sum(demand for demand, _ in pairs) * HUNDREDTHS),
+                n_routers,
+                organisations,
+            )
+            self._apply(sums, down, (self._router, self._incarnation), 0.0)
+        self._sent_demand = self._demand()
+
+    def take_down(self, down: Down) -> None:
+        """Take in the report of the parent."""
+        source = (down.root, down.root_incarnation)
+        delay_s = (down.depth + 1) * down.period_ms / 1000.0
+        for service, pool_down in down.pools.items():
+            sums = self._sums.get(ServiceName(service))
+            if sums is not None:
+                self._apply(sums, pool_down, source, delay_s)
+
+    def build_down(self, child: RouterId) -> dict[str, PoolDown]:
+        """Return prices, and totals of what the child reported."""
+        pools: dict[str, PoolDown] = {}
+        for service, sums in self._sums.items():
+            down = sums.down
+            if down is None:
+                continue
+            report = sums.children.get(child)
+            wanted = report.served if report is not None else {}
+            totals = {
+                number: total
+                for number, total in down.organisations.items()
+                if number in wanted
+            }
+            pools[service] = PoolDown(
+                down.level, down.n_slots, down.demand, down.n_routers, totals
+            )
+        return pools
+
+    def _apply(
+        self, sums: _PoolSums, down: PoolDown, source: object, delay_s: float
+    ) -> None:
+        sums.down = down
+        pool = sums.pool
+        pool.ledger.delay_s = delay_s
+        known = {
+            sums.names[number]: total
+            for number, total in down.organisations.items()
+            if number in sums.names
+        }
+        shares = {name: self._share_of(organisation_number(name)) for name in known}
+        served = {name: float(total[1]) for name, total in known.items()}
+        pool.ledger.take_fleet_totals(source, served, shares)
+        pool.fleet = FleetState(
+            level=inf if down.level < 0 else down.level / HUNDREDTHS,
+            n_slots=down.n_slots / HUNDREDTHS,
+            demand=down.demand / HUNDREDTHS,
+            n_routers=down.n_routers,
+            demands={name: total[0] / HUNDREDTHS for name, total in known.items()},
+            own_demands=dict(sums.reported),
+        )
+        pool.pump()
--- /dev/null
+++ b/src/chicorylead/sharing/pool.py
@@ -0,0 +1,320 @@
+"""The queue of one pool at one router, and who goes next.
+
+The router may have as many requests in flight as the fleet's split gives it. Among
+organisations the one with the lowest virtual time goes first; inside an
+organisation short requests go before long ones, which gain on them by waiting.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from math import ceil, inf
+
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.ids import OrganisationId, ServiceName
+from chicorylead.sharing.cost import LengthClass
+from chicorylead.sharing.ledger import Ledger
+from chicorylead.sharing.split import allowance
+
+__all__ = ["FairPool", "FleetState", "SharingMode", "Ticket"]
+
+LONG_HANDICAP_S = 3.0
+LONG_PART = 0.6
+SHORT_EXTRA_PART = 0.25
+ROUND_UP_FROM = 0.25
+
+
+class SharingMode(Enum):
+    """How routers share the slots of a pool."""
+
+    FLEET = "fleet"
+    LOCAL = "local"
+    MESH = "mesh"
+
+
+@dataclass(slots=True)
+class FleetState:
+    """What this router knows of a pool over the whole fleet.
+
+    Attributes:
+        level: Slots per unit of share; infinity when all demand fits.
+        n_slots: Slots of the pool.
+        demand: Demand over the fleet, in slots.
+        n_routers: Routers that report demand.
+        demands: Demand over the fleet by organisation, in slots.
+        own_demands: The part of `demands` that this router had reported.
+    """
+
+    level: float = inf
+    n_slots: float = 0.0
+    demand: float = 0.0
+    n_routers: int = 1
+    demands: dict[OrganisationId, float] = field(default_factory=dict)
+    own_demands: dict[OrganisationId, float] = field(default_factory=dict)
+
+
+@dataclass(eq=False, slots=True)
+class Ticket:
+    """One request that waits for a slot or holds one.
+
+    Attributes:
+        queued_at: Event-loop time, seconds.
+        granted: Resolves when the request may be sent to an upstream.
+        why_waiting: Reason for which it was last passed over.
+    """
+
+    organisation: OrganisationId
+    share: float
+    length: LengthClass
+    queued_at: float
+    granted: asyncio.Future[None]
+    holds_slot: bool = False
+    outstanding: float = 0.0
+    why_waiting: str = ""
+
+    @property
+    def order(self) -> float:
+        """Return the time by which requests of one organisation are ordered."""
+        handicap_s = LONG_HANDICAP_S if self.length.is_long else 0.0
+        return self.queued_at + handicap_s
+
+
+class _Line:
+    """Waiting requests of one organisation, short and long ones apart."""
+
+    def __init__(self) -> None:
+        self.short: deque[Ticket] = deque()
+        self.long: deque[Ticket] = deque()
+        self.n_in_flight = 0
+
+    def __len__(self) -> int:
+        return len(self.short) + len(self.long)
+
+    def add(self, ticket: Ticket) -> None:
+        (self.long if ticket.length.is_long else self.short).append(ticket)
+
+    def remove(self, ticket: Ticket) -> None:
+        line = self.long if ticket.length.is_long else self.short
+        try:
+            line.remove(ticket)
+        except ValueError:
+            pass
+
+    def head(self, short_only: bool) -> Ticket | None:
+        if short_only or not self.long:
+            return self.short[0] if self.short else None
+        if not self.short:
+            return self.long[0]
+        return min(self.short[0], self.long[0], key=lambda ticket: ticket.order)
+
+
+class FairPool:
+    """Queue of one pool at one router.
+
+    Args:
+        service: Service whose upstreams make the pool.
+        mode: How routers share its slots.
+
+    Attributes:
+        ledger: Service received by each organisation.
+        fleet: What is known of the whole fleet.
+        n_in_flight: Requests that hold a slot here.
+        changed: Set when demand changed since the last report.
+    """
+
+    def __init__(self, service: ServiceName, mode: SharingMode) -> None:
+        self.service = service
+        self.mode = mode
+        self.ledger = Ledger()
+        self.fleet = FleetState()
+        self.n_in_flight = 0
+        self.n_long = 0
+        self._lines: dict[OrganisationId, _Line] = {}
+        self._clock = asyncio.get_running_loop().time
+        self._shares: dict[OrganisationId, float] = {}
+
+    # -- life of a request
+
+    async def acquire(
+        self,
+        organisation: OrganisationId,
+        share: float,
+        length: LengthClass,
+        deadline: float,
+        max_waiting: int,
+    ) -> Ticket:
+        """Wait for a slot.
+
+        Args:
+            organisation: Who asks.
+            share: Its share.
+            length: What the request is expected to cost.
+            deadline: Event-loop time until which it may wait, seconds.
+            max_waiting: Requests that the organisation may have waiting here.
+
+        Raises:
+            Refusal: QUEUE_FULL or DEADLINE_IN_QUEUE; the request did not run.
+        """
+        line = self._lines.setdefault(organisation, _Line())
+        if len(line) >= max_waiting:
+            raise Refusal(
+                ErrorKind.QUEUE_FULL,
+                f"organisation {organisation!r} has {len(line)} requests waiting",
+                retry_after_s=self._retry_after_s(line),
+            )
+        self._shares[organisation] = share
+        if not line and not line.n_in_flight:
+            self.ledger.wake(organisation, self._waiting())
+        fut = asyncio.get_running_loop().create_future()
+        ticket = Ticket(organisation, share, length, self._clock(), fut)
+        line.add(ticket)
+        self.pump()
+        try:
+            async with asyncio.timeout_at(deadline):
+                await fut
+        except TimeoutError:
+            self._withdraw(ticket)
+            raise Refusal(
+                ErrorKind.DEADLINE_IN_QUEUE,
+                f"waited {self._clock() - ticket.queued_at:.3f} s for a slot; "
+                f"{ticket.why_waiting or 'no slot came free'}",
+            ) from None
+        except asyncio.CancelledError:
+            self._withdraw(ticket)
+            raise
+        return ticket
+
+    def deliver(self, ticket: Ticket, cost: float) -> None:
+        """Note cost that was delivered for a request in flight."""
+        account = self.ledger.account(ticket.organisation)
+        account.served += cost
+        covered = min(ticket.outstanding, cost)
+        ticket.outstanding -= covered
+        account.outstanding -= covered
+
+    def release(self, ticket: Ticket) -> None:
+        """Give a slot back."""
+        if not ticket.holds_slot:
+            return
+        ticket.holds_slot = False
+        account = self.ledger.account(ticket.organisation)
+        account.outstanding = max(0.0, account.outstanding - ticket.outstanding)
+        ticket.outstanding = 0.0
+        self.n_in_flight -= 1
+        self.n_long -= 1 if ticket.length.is_long else 0
+        self._lines[ticket.organisation].n_in_flight -= 1
+        self.pump()
+
+    def _withdraw(self, ticket: Ticket) -> None:
+        if ticket.holds_slot:
+            self.release(ticket)
+        else:
+            self._lines[ticket.organisation].remove(ticket)
+
+    def _retry_after_s(self, line: _Line) -> int:
+        oldest = line.head(short_only=False)
+        waited = self._clock() - oldest.queued_at if oldest else 1.0
+        return max(1, min(30, ceil(waited)))
+
+    # -- who goes next
+
+    def pump(self) -> None:
+        """Grant slots while there are any and requests wait."""
+        limit = self.limit()
+        while (ticket := self._next(limit)) is not None:
+            self._grant(ticket)
+
+    def _grant(self, ticket: Ticket) -> None:
+        line = self._lines[ticket.organisation]
+        line.remove(ticket)
+        line.n_in_flight += 1
+        self.n_in_flight += 1
+        self.n_long += 1 if ticket.length.is_long else 0
+        ticket.holds_slot = True
+        ticket.outstanding = ticket.length.cost
+        self.ledger.account(ticket.organisation).outstanding += ticket.length.cost
+        if not ticket.granted.done():
+            ticket.granted.set_result(None)
+
+    def _next(self, limit: float) -> Ticket | None:
+        if self.n_in_flight < limit:
+            long_is_full = self.n_long >= max(1.0, LONG_PART * limit)
+            if long_is_full:
+                return self._pick(short_only=True) or self._pick(short_only=False)
+            return self._pick(short_only=False)
+        # Long requests hold more than their part: a short one may go beyond the
+        # window, where the engine slows a little but nothing waits.
+        crowded = self.n_long > LONG_PART * limit
+        if crowded and self.n_in_flight < limit * (1.0 + SHORT_EXTRA_PART):
+            return self._pick(short_only=True)
+        return None
+
+    def _pick(self, short_only: bool) -> Ticket | None:
+        heads = [line.head(short_only) for line in self._lines.values()]
+        waiting = [ticket for ticket in heads if ticket is not None]
+        if not waiting:
+            return None
+        if self.mode is SharingMode.LOCAL:
+            return min(waiting, key=lambda ticket: ticket.queued_at)
+        now = self._clock()
+        best = min(
+            waiting,
+            key=lambda ticket: self.ledger.virtual_time(
+                ticket.organisation, ticket.share, now
+            ),
+        )
+        for ticket in waiting:
+            if ticket is not best:
+                ticket.why_waiting = f"{best.organisation} had less for its share"
+        return best
+
+    # -- the split
+
+    def limit(self) -> float:
+        """Return how many requests this router may have in flight."""
+        fleet = self.fleet
+        if self.mode is SharingMode.LOCAL:
+            return max(1.0, fleet.n_slots / max(1, fleet.n_routers))
+        demand = reported = total = 0.0
+        for organisation, line in self._lines.items():
+            own = float(len(line) + line.n_in_flight)
+            if not own:
+                continue
+            before = fleet.own_demands.get(organisation, 0.0)
+            others = max(0.0, fleet.demands.get(organisation, 0.0) - before)
+            share = self._shares[organisation]
+            total += allowance(own, others + own, share, fleet.level)
+            demand += own
+            reported += min(own, before)
+        if fleet.level == inf:
+            spare = max(0.0, fleet.n_slots - fleet.demand) / max(1, fleet.n_routers)
+            total = min(demand, reported + max(1.0, spare))
+        rounded = ceil(total - ROUND_UP_FROM)
+        return max(1.0, rounded) if demand else 0.0
+
+    # -- what reports are made of
+
+    def demands(self) -> dict[OrganisationId, float]:
+        """Return the slots that each organisation could use here."""
+        found = {}
+        for organisation, line in self._lines.items():
+            own = len(line) + line.n_in_flight
+            if own:
+                found[organisation] = float(own)
+        return found
+
+    def n_waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(line) for line in self._lines.values())
+
+    def waiting_by_organisation(self) -> dict[OrganisationId, tuple[int, int]]:
+        """Return waiting requests and requests in flight, by organisation."""
+        return {
+            organisation: (len(line), line.n_in_flight)
+            for organisation, line in self._lines.items()
+            if len(line) or line.n_in_flight
+        }
+
+    def _waiting(self) -> list[OrganisationId]:
+        return [name for name, line in self._lines.items() if len(line)]
--- /dev/null
+++ b/src/chicorylead/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: their health, the choice between them, exchanges with them."""
--- /dev/null
+++ b/src/chicorylead/upstream/exchange.py
@@ -0,0 +1,287 @@
+"""One exchange with an upstream over HTTP.
+
+Each exchange has its own id and its own connection while it lasts. An answer that
+carries another id is dropped; an answer that ends early is never passed as whole.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from aiohttp import (
+    ClientConnectionError,
+    ClientConnectorError,
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
+
+from chicorylead.ids import ExchangeId
+from chicorylead.settings import TimeoutSettings
+
+__all__ = ["Break", "BreakKind", "Exchange", "ExchangeClient", "PlainAnswer"]
+
+KEEP_ALIVE_S = 4.0
+EVENT_END = b"\n\n"
+DONE_START = b"event: done\n"
+DONE_INSIDE = b"\n\nevent: done\n"
+READ_BUFFER_BYTES = 65536
+MAX_ANSWER_BYTES = 16_000_000
+
+
+class BreakKind(Enum):
+    """Why an exchange did not end well."""
+
+    NOT_SENT = "not_sent"
+    LOST = "lost"
+    SILENT = "silent"
+    CROSSED = "crossed"
+    TRUNCATED = "truncated"
+    REFUSED = "refused"
+    SLOW = "slow"
+
+
+class Break(Exception):
+    """An exchange that did not end well.
+
+    Attributes:
+        kind: Only NOT_SENT says that no byte of the request reached the upstream.
+        status: HTTP status of a refusal; 0 otherwise.
+    """
+
+    def __init__(self, kind: BreakKind, detail: str, status: int = 0) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """What is sent to an upstream.
+
+    Attributes:
+        deadline: Event-loop time by which it must end, seconds.
+        from_event: First event wanted; above 0 resumes a stream.
+        once: Whether it must not be sent on a connection that may be dead.
+    """
+
+    id: ExchangeId
+    address: str
+    operation: str
+    body: bytes
+    deadline: float
+    key: str = ""
+    from_event: int = 0
+    once: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """Whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class ExchangeClient:
+    """Open exchanges with upstreams.
+
+    Args:
+        timeouts: Limits on waiting.
+    """
+
+    def __init__(self, timeouts: TimeoutSettings) -> None:
+        self._timeouts = timeouts
+        self._clock = asyncio.get_running_loop().time
+        self._pooled = ClientSession(
+            connector=TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S),
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+        )
+        self._fresh = ClientSession(
+            connector=TCPConnector(limit=0, force_close=True), auto_decompress=False
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pooled.close()
+        await self._fresh.close()
+
+    # -- engines
+
+    async def stream(self, exchange: Exchange) -> AsyncIterator[tuple[bytes, int]]:
+        """Yield whole events as they come, with their number.
+
+        The terminal event is checked and not passed on.
+
+        Raises:
+            Break: The stream did not reach its terminal event.
+        """
+        resp = await self._open(exchange)
+        try:
+            self._check(exchange, resp)
+            async for part in self._events(resp, exchange):
+                yield part
+        finally:
+            resp.close()
+
+    async def _events(
+        self, resp: ClientResponse, exchange: Exchange
+    ) -> AsyncIterator[tuple[bytes, int]]:
+        pending = b""
+        is_first = True
+        while True:
+            data = await self._read(resp, exchange.deadline)
+            if not data:
+                raise Break(BreakKind.TRUNCATED, "stream ended before its last event")
+            pending += data
+            end = pending.rfind(EVENT_END)
+            if end < 0:
+                if len(pending) > MAX_ANSWER_BYTES:
+                    raise Break(BreakKind.LOST, "an event has no end")
+                continue
+            whole, pending = pending[: end + 2], pending[end + 2 :]
+            if is_first:
+                self._check_first(whole, exchange)
+                is_first = False
+            whole, done = _split_done(whole)
+            if whole:
+                yield whole, whole.count(EVENT_END)
+            if done:
+                return
+
+    def _check_first(self, events: bytes, exchange: Exchange) -> None:
+        line = events.partition(b"\n")[0]
+        if line.startswith(b"id: ") and line != b"id: %d" % exchange.from_event:
+            raise Break(BreakKind.CROSSED, f"stream starts at {line!r}")
+
+    async def _read(self, resp: ClientResponse, deadline: float) -> bytes:
+        left_s = deadline - self._clock()
+        limit_s = min(self._timeouts.between_bytes_s, left_s)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await resp.content.readany()
+        except TimeoutError:
+            raise Break(BreakKind.SILENT, f"no byte for {limit_s:.3f} s") from None
+        except ClientPayloadError as exc:
+            raise Break(BreakKind.TRUNCATED, str(exc)) from exc
+        except (ClientError, OSError) as exc:
+            raise Break(BreakKind.LOST, str(exc) or type(exc).__name__) from exc
+
+    # -- plain services
+
+    async def call(self, exchange: Exchange) -> PlainAnswer:
+        """Return the whole answer of a plain service.
+
+        Raises:
+            Break: There is no whole answer.
+        """
+        resp = await self._open(exchange)
+        try:
+            self._check(exchange, resp)
+            parts = []
+            while data := await self._read(resp, exchange.deadline):
+                parts.append(data)
+            content_type = resp.headers.get("content-type", "application/octet-stream")
+            return PlainAnswer(resp.status, content_type, b"".join(parts))
+        finally:
+            resp.release()
+
+    async def get(self, address: str, path: str, timeout_s: float) -> bytes:
+        """Read a small page of an upstream over a fresh connection.
+
+        Raises:
+            Break: There is no whole answer with status 200.
+        """
+        timeout = ClientTimeout(total=timeout_s)
+        try:
+            url = f"http://{address}{path}"
+            async with self._fresh.get(url, timeout=timeout) as resp:
+                body = await resp.read()
+                if resp.status != 200:
+                    raise Break(BreakKind.REFUSED, f"status {resp.status}", resp.status)
+                return body
+        except ClientConnectorError as exc:
+            raise Break(BreakKind.NOT_SENT, str(exc)) from exc
+        except (TimeoutError, ClientError, OSError) as exc:
+            raise Break(BreakKind.LOST, str(exc) or type(exc).__name__) from exc
+
+    async def post(
+        self, address: str, path: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        """Send a small order to an upstream over a fresh connection.
+
+        Raises:
+            Break: There is no whole answer with status 200.
+        """
+        timeout = ClientTimeout(total=timeout_s)
+        try:
+            url = f"http://{address}{path}"
+            async with self._fresh.post(url, data=body, timeout=timeout) as resp:
+                answer = await resp.read()
+                if resp.status != 200:
+                    raise Break(BreakKind.REFUSED, f"status {resp.status}", resp.status)
+                return answer
+        except ClientConnectorError as exc:
+            raise Break(BreakKind.NOT_SENT, str(exc)) from exc
+        except (TimeoutError, ClientError, OSError) as exc:
+            raise Break(BreakKind.LOST, str(exc) or type(exc).__name__) from exc
+
+    # -- common
+
+    async def _open(self, exchange: Exchange) -> ClientResponse:
+        session = self._fresh if exchange.once else self._pooled
+        left_s = max(0.001, exchange.deadline - self._clock())
+        url = f"http://{exchange.address}/run/{exchange.operation}"
+        timeout = ClientTimeout(
+            total=None,
+            connect=self._timeouts.connect_s,
+            sock_connect=self._timeouts.connect_s,
+        )
+        try:
+            async with asyncio.timeout(min(self._timeouts.first_byte_s, left_s)):
+                return await session.post(
+                    url, data=exchange.body, headers=_headers(exchange), timeout=timeout
+                )
+        except ClientConnectorError as exc:
+            raise Break(BreakKind.NOT_SENT, str(exc)) from exc
+        except TimeoutError:
+            # It may be the connection or the answer that is late; only the
+            # stronger claim, that nothing was sent, would need proof.
+            raise Break(BreakKind.SILENT, "no answer in time") from None
+        except (ClientConnectionError, ClientError, OSError) as exc:
+            raise Break(BreakKind.LOST, str(exc) or type(exc).__name__) from exc
+
+    def _check(self, exchange: Exchange, resp: ClientResponse) -> None:
+        if resp.status >= 500 or resp.status == 429:
+            raise Break(BreakKind.REFUSED, f"status {resp.status}", resp.status)
+        echoed = resp.headers.get("x-exchange-id")
+        if echoed != exchange.id:
+            raise Break(BreakKind.CROSSED, f"answer belongs to {echoed!r}")
+
+
+def _headers(exchange: Exchange) -> Mapping[str, str]:
+    headers = {
+        "X-Exchange-Id": exchange.id,
+        "Content-Type": "application/json",
+        "X-From-Event": str(exchange.from_event),
+    }
+    if exchange.key:
+        headers["Idempotency-Key"] = exchange.key
+    return headers
+
+
+def _split_done(events: bytes) -> tuple[bytes, bool]:
+    """Cut the terminal event off; tell whether it was there."""
+    if events.startswith(DONE_START):
+        return b"", True
+    at = events.find(DONE_INSIDE)
+    if at < 0:
+        return events, False
+    return events[: at + 2], True
--- /dev/null
+++ b/src/chicorylead/upstream/state.py
@@ -0,0 +1,94 @@
+"""What this router itself measured of one upstream."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from chicorylead.records.model import Upstream
+
+__all__ = ["Health", "UpstreamState"]
+
+SMOOTHING = 0.2
+EJECT_AFTER_FAILURES = 3
+EJECT_BASE_S = 1.0
+EJECT_CAP_S = 30.0
+
+
+class Health(Enum):
+    """Whether requests may be sent to an upstream."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclass(slots=True)
+class UpstreamState:
+    """Measurements and health of one upstream.
+
+    Attributes:
+        address: Where it is now; the platform's list may override the record.
+        first_byte_s: Smoothed time to the first byte, seconds; 0 when unknown.
+        token_s: Smoothed time between events, seconds; 0 when unknown.
+        n_in_flight: Exchanges of this router.
+        reported_active: Requests at the upstream by its last, late, report.
+        reported_at: Event-loop time of that report, seconds.
+    """
+
+    record: Upstream
+    address: str
+    first_byte_s: float = 0.0
+    token_s: float = 0.0
+    n_in_flight: int = 0
+    n_failures: int = 0
+    n_ejections: int = 0
+    ejected_until: float = 0.0
+    health: Health = Health.HEALTHY
+    reported_active: int = 0
+    reported_at: float = float("-inf")
+    n_served: int = 0
+
+    def note_first_byte(self, seconds: float) -> None:
+        """Take in a measured time to the first byte."""
+        self.first_byte_s = _smooth(self.first_byte_s, seconds)
+
+    def note_token(self, seconds: float) -> None:
+        """Take in a measured time between events."""
+        self.token_s = _smooth(self.token_s, seconds)
+
+    def note_success(self) -> None:
+        """Take in an exchange that ended well."""
+        self.n_served += 1
+        self.n_failures = 0
+        self.n_ejections = max(0, self.n_ejections - 1)
+        self.health = Health.HEALTHY
+
+    def note_failure(self, now: float, may_eject: bool) -> bool:
+        """Take in a failed exchange; return whether it led to an ejection."""
+        self.n_failures += 1
+        is_probe = self.health is Health.PROBING
+        if not may_eject or not (is_probe or self.n_failures >= EJECT_AFTER_FAILURES):
+            return False
+        self.n_ejections += 1
+        ejected_s = min(EJECT_CAP_S, EJECT_BASE_S * 2 ** (self.n_ejections - 1))
+        self.ejected_until = now + ejected_s
+        self.health = Health.EJECTED
+        return True
+
+    def is_open(self, now: float) -> bool:
+        """Tell whether a request may be sent; half-open lets one through."""
+        match self.health:
+            case Health.HEALTHY:
+                return True
+            case Health.PROBING:
+                return False
+            case Health.EJECTED:
+                return now >= self.ejected_until
+
+    def note_dispatch(self) -> None:
+        """Note that a request is sent; an ejected upstream is being probed."""
+        if self.health is Health.EJECTED:
+            self.health = Health.PROBING
+
+
+def _smooth(old: float, new: float) -> float:
+    return new if old == 0.0 else old + SMOOTHING * (new - old)
--- /dev/null
+++ b/src/chicorylead/vm/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers and upstreams are there, and which addresses callers get."""
--- /dev/null
+++ b/src/chicorylead/vm/address.py
@@ -0,0 +1,56 @@
+"""Answer callers who ask which router to use.
+
+Nearby zones first, live routers only, the requests of one organisation on few
+routers, and the load of all organisations spread.
+"""
+
+from msgspec import Struct
+
+from chicorylead.ids import OrganisationId, ZoneName
+from chicorylead.vm.rendezvous import rank
+from chicorylead.vm.view import FleetView, Member
+
+__all__ = ["AddressAnswer", "AddressEntry", "answer_address"]
+
+MAX_ADDRESSES = 4
+
+
+class AddressEntry(Struct, frozen=True):
+    """One router that the caller may use."""
+
+    address: str
+    zone: ZoneName
+
+
+class AddressAnswer(Struct, frozen=True):
+    """Routers in order of preference.
+
+    Attributes:
+        lifetime_s: How long the answer may be kept, seconds.
+    """
+
+    addresses: list[AddressEntry]
+    lifetime_s: float
+
+
+def answer_address(
+    view: FleetView,
+    organisation: OrganisationId | None,
+    zone: ZoneName | None,
+    lifetime_s: float,
+) -> AddressAnswer:
+    """Return the addresses for a caller.
+
+    Args:
+        view: View of the fleet.
+        organisation: Who asks; its requests are kept together.
+        zone: Where the caller is; by default where this router is.
+        lifetime_s: How long the caller may keep the answer, seconds.
+    """
+    near = zone or view.own.zone
+    live = {member.id: member for member in view.live()}
+    order = rank(organisation or "", live)
+    chosen: list[Member] = [live[i] for i in order if live[i].zone == near]
+    chosen += [live[i] for i in order if live[i].zone != near]
+    entries = [AddressEntry(m.address, m.zone) for m in chosen[:MAX_ADDRESSES]]
+    return AddressAnswer(entries, lifetime_s)
--- /dev/null
+++ b/src/chicorylead/vm/view.py
@@ -0,0 +1,219 @@
+"""One router's view of the fleet: the platform's list joined with direct evidence.
+
+The list lags, evidence from links does not. A member's state is ordered by its
+incarnation, then by a version that only the member itself raises, then by how bad
+the state is; every router that heard the same notices holds the same view.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+from msgspec import Struct
+
+from chicorylead.ids import Incarnation, RouterId, UpstreamId, ZoneName
+from chicorylead.platform.api import VmEntry, VmList, VmRole, VmState
+
+__all__ = ["FleetView", "Member", "MemberNotice", "MemberState"]
+
+
+class MemberState(IntEnum):
+    """State of a router, from best to worst."""
+
+    LIVE = 0
+    LEAVING = 1
+    GONE = 2
+
+
+class MemberNotice(Struct, frozen=True, array_like=True):
+    """News of one router, passed on from link to link.
+
+    Attributes:
+        version: Raised by the router itself to refute an earlier notice.
+    """
+
+    router: RouterId
+    incarnation: Incarnation
+    version: int
+    state: MemberState
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return what notices about the same router are ordered by."""
+        return (self.incarnation, self.version, int(self.state))
+
+
+@dataclass(slots=True)
+class Member:
+    """A router as this one knows it.
+
+    Attributes:
+        address: IP number and port for callers.
+        link: IP number and port for peers.
+        listed: Whether the platform's list holds it.
+        heard_at: Event-loop time of the last message from it, seconds.
+    """
+
+    id: RouterId
+    zone: ZoneName
+    address: str
+    link: str
+    incarnation: Incarnation = Incarnation(0)
+    version: int = 0
+    state: MemberState = MemberState.LIVE
+    listed: bool = True
+    heard_at: float = float("-inf")
+
+    @property
+    def notice(self) -> MemberNotice:
+        """Return the state as a notice."""
+        return MemberNotice(self.id, self.incarnation, self.version, self.state)
+
+
+class FleetView:
+    """Routers and leaving upstreams, as seen from one router.
+
+    Args:
+        own: This router.
+        on_news: Called with each notice that changed the view, to pass it on.
+    """
+
+    def __init__(self, own: Member, on_news: Callable[[MemberNotice], None]) -> None:
+        self.own = own
+        self.list_version = 0
+        self.n_changes = 0
+        self._members: dict[RouterId, Member] = {own.id: own}
+        self._on_news = on_news
+        self._listed_upstreams: dict[UpstreamId, VmEntry] = {}
+        self._leaving_upstreams: set[UpstreamId] = set()
+
+    # -- what others tell
+
+    def take_list(self, listed: VmList) -> None:
+        """Take in the platform's list or its changes."""
+        self.list_version = listed.version
+        if listed.is_full:
+            kept = {vm.id for vm in listed.vms}
+            known = [*self._members, *self._listed_upstreams]
+            self._remove(vm_id for vm_id in known if vm_id not in kept)
+        self._remove(listed.removed)
+        for vm in listed.vms:
+            match vm.role:
+                case VmRole.ROUTER:
+                    self._take_router(vm)
+                case VmRole.UPSTREAM:
+                    self._take_upstream(vm)
+        self.n_changes += 1
+
+    def _remove(self, ids: Iterable[str]) -> None:
+        for vm_id in list(ids):
+            self._listed_upstreams.pop(UpstreamId(vm_id), None)
+            self._leaving_upstreams.discard(UpstreamId(vm_id))
+            member = self._members.get(RouterId(vm_id))
+            if member is not None and member is not self.own:
+                member.listed = False
+                if member.state is MemberState.GONE:
+                    del self._members[member.id]
+
+    def _take_router(self, vm: VmEntry) -> None:
+        router = RouterId(vm.id)
+        if router == self.own.id:
+            self.own.listed = True
+            return
+        member = self._members.get(router)
+        if member is None:
+            member = Member(router, vm.zone, vm.address, vm.link)
+            self._members[router] = member
+        member.listed = True
+        member.zone, member.address, member.link = vm.zone, vm.address, vm.link
+        if vm.state is VmState.LEAVING and member.state is MemberState.LIVE:
+            member.state = MemberState.LEAVING
+
+    def _take_upstream(self, vm: VmEntry) -> None:
+        upstream = UpstreamId(vm.id)
+        self._listed_upstreams[upstream] = vm
+        if vm.state is VmState.LEAVING:
+            self._leaving_upstreams.add(upstream)
+
+    def take_notice(self, notice: MemberNotice) -> None:
+        """Take in news of a router, and pass it on when it changes the view."""
+        if notice.router == self.own.id:
+            self._refute(notice)
+            return
+        member = self._members.get(notice.router)
+        if member is None or notice.order <= member.notice.order:
+            return
+        changed = member.state is not notice.state
+        member.incarnation = notice.incarnation
+        member.version = notice.version
+        member.state = notice.state
+        self.n_changes += 1 if changed else 0
+        self._on_news(notice)
+
+    def _refute(self, notice: MemberNotice) -> None:
+        own = self.own
+        if notice.incarnation == own.incarnation and notice.order > own.notice.order:
+            own.version = notice.version + 1
+            self._on_news(own.notice)
+
+    def heard_from(
+        self, router: RouterId, incarnation: Incarnation, now: float
+    ) -> Member | None:
+        """Note a message from a router; None when nobody listed it yet."""
+        member = self._members.get(router)
+        if member is None:
+            return None
+        member.heard_at = now
+        if incarnation > member.incarnation:
+            self.take_notice(MemberNotice(router, incarnation, 0, MemberState.LIVE))
+        return member
+
+    # -- what this router finds out itself
+
+    def declare(self, router: RouterId, state: MemberState) -> None:
+        """State what this router found out about another, or about itself."""
+        member = self._members.get(router)
+        if member is None or member.state >= state:
+            return
+        member.state = state
+        self.n_changes += 1
+        self._on_news(member.notice)
+
+    def upstream_leaves(self, upstream: UpstreamId) -> bool:
+        """Note that an upstream is leaving; return whether that is news."""
+        is_news = upstream not in self._leaving_upstreams
+        self._leaving_upstreams.add(upstream)
+        return is_news
+
+    # -- what is known
+
+    def member(self, router: RouterId) -> Member | None:
+        """Return one router."""
+        return self._members.get(router)
+
+    def members(self) -> list[Member]:
+        """Return all known routers, this one included."""
+        return list(self._members.values())
+
+    def present(self) -> list[Member]:
+        """Return routers that still work: live and leaving ones."""
+        return [m for m in self._members.values() if m.state < MemberState.GONE]
+
+    def live(self) -> list[Member]:
+        """Return routers that callers may be sent to."""
+        return [m for m in self._members.values() if m.state is MemberState.LIVE]
+
+    def reachable_part(self) -> float:
+        """Return the part of the listed routers that is on this side of a cut."""
+        listed = [m for m in self._members.values() if m.listed]
+        n_present = sum(1 for m in listed if m.state < MemberState.GONE)
+        return n_present / len(listed) if listed else 1.0
+
+    def is_upstream_leaving(self, upstream: UpstreamId) -> bool:
+        """Tell whether an upstream may get no new work."""
+        return upstream in self._leaving_upstreams
+
+    def upstream_address(self, upstream: UpstreamId) -> str | None:
+        """Return the address that the list gives for an upstream, if any."""
+        vm = self._listed_upstreams.get(upstream)
+        return vm.address if vm is not None and vm.address else None
