Bench with real processes behind a fault-injecting proxy

Cause: no figure of the fleet could be taken. Change: a fleet harness (platform, network, upstreams and routers as processes), callers that check every byte, a judge that counts at the stand-ins, ten scenarios.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with real processes behind a fault-injecting proxy."""
--- /dev/null
+++ b/bench/scenario.py
@@ -0,0 +1,234 @@
+"""Scenarios: what callers send and what goes wrong meanwhile."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from bench.fleet import Fleet
+from bench.load import Callers, Work
+from bench.profile import OrganisationPlan
+
+__all__ = ["SCENARIOS", "Scenario", "drive"]
+
+TICK_S = 0.01
+MEAN_LOG_TOKENS = 2.9
+SIGMA_LOG_TOKENS = 0.6
+LONG_PART = 0.02
+LONG_FACTOR = 20
+MAX_TOKENS = 600
+SHORT_TOKENS = 8
+LONG_TOKENS = 400
+ONCE_PER_S = 4.0
+PLAIN_PER_S = 4.0
+PLAIN_WORK_S = 0.03
+SWING_PERIOD_S = 5.0
+
+Fault = Callable[[Fleet, float], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """One experiment.
+
+    Attributes:
+        load: Load factor; 1 offers about 1.2 times the capacity.
+        kind: `mixed` work, or `long_short` for two classes.
+        swing: Whether the load jumps between a fifth and the whole.
+        flood: Load factor of the first small organisation; 0 for none.
+        fault: What goes wrong; gets the fleet and the length in seconds.
+        deadline_s: Time in which answers are wanted, seconds.
+    """
+
+    load: float = 1.0
+    kind: str = "mixed"
+    swing: bool = False
+    flood: float = 0.0
+    fault: Fault | None = None
+    deadline_s: float = 20.0
+    long_load: float = 0.9
+    short_load: float = 0.15
+
+
+class _Source:
+    """Random work of one experiment."""
+
+    def __init__(self, fleet: Fleet, scenario: Scenario, rng: Random) -> None:
+        self._fleet = fleet
+        self._scenario = scenario
+        self._rng = rng
+
+    def mixed(self, plan: OrganisationPlan) -> Work:
+        n_tokens = int(self._rng.lognormvariate(MEAN_LOG_TOKENS, SIGMA_LOG_TOKENS))
+        is_long = self._rng.random() < LONG_PART
+        n_tokens = max(2, n_tokens * LONG_FACTOR if is_long else n_tokens)
+        return self._engine(plan, min(MAX_TOKENS, n_tokens), is_long)
+
+    def sized(self, plan: OrganisationPlan, is_long: bool) -> Work:
+        n_tokens = LONG_TOKENS if is_long else SHORT_TOKENS
+        return self._engine(plan, n_tokens, is_long)
+
+    def _engine(self, plan: OrganisationPlan, n_tokens: int, is_long: bool) -> Work:
+        return Work(
+            organisation=plan,
+            service=self._fleet.profile.engine_service,
+            operation="revise" if is_long else "check",
+            n_tokens=n_tokens,
+            is_long=is_long,
+            deadline_s=self._scenario.deadline_s,
+        )
+
+    def plain(self, plan: OrganisationPlan, is_once: bool) -> Work:
+        return Work(
+            organisation=plan,
+            service=self._fleet.profile.plain_service,
+            operation="publish" if is_once else "look_up",
+            work_s=PLAIN_WORK_S,
+            is_once=is_once,
+            deadline_s=self._scenario.deadline_s,
+        )
+
+
+MEAN_TOKENS = 27.0
+
+
+async def drive(
+    fleet: Fleet,
+    callers: Callers,
+    scenario: Scenario,
+    seconds: float,
+    seed: int,
+    capacity: float,
+) -> None:
+    """Send the work of a scenario for some seconds, with its fault beside it.
+
+    Args:
+        fleet: Fleet that is used.
+        callers: Who sends.
+        scenario: What is sent, and what goes wrong.
+        seconds: How long to send.
+        seed: Seed of the work.
+        capacity: Tokens a second that the model pool gives.
+    """
+    rng = Random(seed)
+    source = _Source(fleet, scenario, rng)
+    fault = None
+    if scenario.fault is not None:
+        fault = asyncio.create_task(scenario.fault(fleet, seconds))
+    clock = asyncio.get_running_loop().time
+    started = clock()
+    last = 0.0
+    while (now := clock() - started) < seconds:
+        span = now - last
+        last = now
+        factor = _factor(scenario, now)
+        for plan in fleet.profile.organisations:
+            _send_tick(callers, source, scenario, plan, rng, factor * span, capacity)
+        for is_once, per_s in ((True, ONCE_PER_S), (False, PLAIN_PER_S)):
+            if rng.random() < per_s * span:
+                plan = rng.choice(fleet.profile.organisations)
+                callers.send(source.plain(plan, is_once))
+        await asyncio.sleep(TICK_S)
+    if fault is not None:
+        await fault
+
+
+def _factor(scenario: Scenario, now: float) -> float:
+    if not scenario.swing:
+        return scenario.load
+    is_crest = int(now / SWING_PERIOD_S) % 2 == 1
+    return scenario.load if is_crest else scenario.load / 5.0
+
+
+def _send_tick(
+    callers: Callers,
+    source: _Source,
+    scenario: Scenario,
+    plan: OrganisationPlan,
+    rng: Random,
+    span: float,
+    capacity: float,
+) -> None:
+    """Send what one organisation sends in one tick."""
+    if scenario.kind == "long_short":
+        total = sum(p.load for p in source._fleet.profile.organisations)
+        part = plan.load / total * capacity * span
+        for is_long, load, n_tokens in (
+            (True, scenario.long_load, LONG_TOKENS),
+            (False, scenario.short_load, SHORT_TOKENS),
+        ):
+            for _ in range(_poisson(rng, part * load / n_tokens)):
+                callers.send(source.sized(plan, is_long))
+        return
+    load = plan.load
+    if scenario.flood and plan.name == "org03":
+        load = scenario.flood
+    for _ in range(_poisson(rng, load * capacity * span / MEAN_TOKENS)):
+        callers.send(source.mixed(plan))
+
+
+def _poisson(rng: Random, mean: float) -> int:
+    """Draw a small Poisson number."""
+    n = 0
+    left = rng.expovariate(1.0) if mean > 0 else float("inf")
+    while left < mean:
+        n += 1
+        left += rng.expovariate(1.0)
+    return n
+
+
+# -- what goes wrong
+
+
+async def _slow_upstream(fleet: Fleet, seconds: float) -> None:
+    await asyncio.sleep(seconds / 4)
+    await fleet.set_faults("runner-0", slow_factor=10.0, report_lag_s=5.0)
+    await asyncio.sleep(min(10.0, seconds / 2))
+    await fleet.set_faults("runner-0", slow_factor=1.0)
+
+
+async def _lose_router(fleet: Fleet, seconds: float) -> None:
+    await asyncio.sleep(seconds / 3)
+    fleet.signal_router("router-1", signal.SIGKILL)
+    await asyncio.sleep(seconds / 3)
+    await fleet.start_router("router-1")
+
+
+async def _partition(fleet: Fleet, seconds: float) -> None:
+    await asyncio.sleep(seconds / 3)
+    side = ["router-0", "router-1"]
+    await fleet.cut(side, "refuse")
+    await asyncio.sleep(seconds / 3)
+    await fleet.cut(side, "open")
+
+
+async def _log_outage(fleet: Fleet, seconds: float) -> None:
+    await asyncio.sleep(seconds / 4)
+    await fleet.set_faults("platform", lost_answer=0.5)
+    await asyncio.sleep(seconds / 8)
+    await fleet.set_faults("platform", lost_answer=0.0, down=True)
+    await asyncio.sleep(seconds / 4)
+    await fleet.set_faults("platform", down=False)
+
+
+async def _leave(fleet: Fleet, seconds: float) -> None:
+    await asyncio.sleep(seconds / 4)
+    await fleet.set_faults("runner-0", leaving=True)
+    fleet.signal_router("router-1", signal.SIGTERM)
+    await fleet.list_router("router-1", "leaving")
+    await asyncio.sleep(seconds / 4)
+
+
+SCENARIOS: dict[str, Scenario] = {
+    "steady": Scenario(),
+    "swing": Scenario(load=1.7, swing=True),
+    "flood": Scenario(load=0.8, flood=1.5),
+    "long_short": Scenario(kind="long_short"),
+    "short_only": Scenario(kind="long_short", long_load=0.0),
+    "slow_upstream": Scenario(load=0.45, fault=_slow_upstream),
+    "router_loss": Scenario(load=0.7, fault=_lose_router),
+    "partition": Scenario(load=1.0, fault=_partition),
+    "log_outage": Scenario(load=0.7, fault=_log_outage),
+    "leaving": Scenario(load=0.6, fault=_leave),
+}
--- a/src/chicorylead/vm/view.py
+++ b/src/chicorylead/vm/view.py
@@ -119,6 +119,7 @@
         router = RouterId(vm.id)
         if router == self.own.id:
             self.own.listed = True
+            self.own.address = vm.address or self.own.address
             return
         member = self._members.get(router)
         if member is None:
