Keep control traffic within its budget at both ends of a link

Cause: a child reported at its own period, which the parent, with four children, paid for; platform calls carried headers that nobody reads. Change: the slower end sets the period of a link, reports out of turn use up a credit, demand is sent in whole slots, idle headers are left out; claims are counted apart from control.

--- a/src/chicorylead/link/hub.py
+++ b/src/chicorylead/link/hub.py
@@ -39,13 +39,16 @@
 __all__ = ["LinkHub", "ReportSource"]
 
 WIRE_OVERHEAD_BYTES = 140  # TCP, IP and nng headers of a message and of its ack
+REPORT_PART = 0.6  # the rest is left to reports out of turn and the platform
 URGENT_GAP_S = 0.05
+URGENT_CREDIT_PER_PERIOD = 0.25
+MAX_URGENT_CREDIT = 3.0
 MAX_PERIOD_S = 5.0
 PROBE_PERIOD_S = 3.0
 NOTICE_REPEATS = 3
 MAX_NOTICES = 24
 SEND_BUFFER = 16
-CHILD_TTL_S = 3.0
+CHILD_TTL_S = 6.0
 
 
 class ReportSource(Protocol):
@@ -100,7 +103,7 @@
     def period_s(self, n_links: int) -> float:
         """Return the time between reports, each link carrying one each way."""
         per_round = 2.0 * max(1, n_links) * self._message_bytes
-        period_s = per_round / (0.8 * self._rate)
+        period_s = per_round / (REPORT_PART * self._rate)
         return min(MAX_PERIOD_S, max(self._min_period_s, period_s))
 
 
@@ -115,7 +118,8 @@
     notices: deque[tuple[Notice, int]] = field(default_factory=deque)
     heard_at: float = 0.0
     last_sequence: tuple[int, int] = (0, 0)
-    period_s: float = 0.2
+    period_s: float = 0.0
+    urgent_credit: float = MAX_URGENT_CREDIT
     task: asyncio.Task[None] | None = None
 
 
@@ -215,7 +219,8 @@
         if not self._source.demand_moved():
             return
         parent = self._parent()
-        if parent is not None:
+        if parent is not None and parent.urgent_credit >= 1.0:
+            parent.urgent_credit -= 1.0
             parent.urgent.set()
 
     # -- the tree
@@ -323,13 +328,18 @@
             if self._clock() - max(peer.heard_at, dialled_at) > silence_s:
                 return
             await asyncio.sleep(URGENT_GAP_S)
-            period_s = self.period_s * self._rng.uniform(0.9, 1.1)
-            try:
-                async with asyncio.timeout(max(0.0, period_s - URGENT_GAP_S)):
-                    await peer.urgent.wait()
-            except TimeoutError:
-                pass
-            peer.urgent.clear()
+            await self._wait_for_turn(peer)
+
+    async def _wait_for_turn(self, peer: _Peer) -> None:
+        """Wait for the period of the slower end, or for something urgent."""
+        period_s = max(self.period_s, peer.period_s) * self._rng.uniform(0.9, 1.1)
+        try:
+            async with asyncio.timeout(max(0.0, period_s - URGENT_GAP_S)):
+                await peer.urgent.wait()
+        except TimeoutError:
+            grown = peer.urgent_credit + URGENT_CREDIT_PER_PERIOD
+            peer.urgent_credit = min(MAX_URGENT_CREDIT, grown)
+        peer.urgent.clear()
 
     def _send_report(self, peer: _Peer, sock: pynng.Push0) -> None:
         notices = self._take_notices(peer)
--- a/src/chicorylead/link/message.py
+++ b/src/chicorylead/link/message.py
@@ -1,7 +1,7 @@
 """Messages between routers, their codec and their signature.
 
 A message is a keyed digest followed by MessagePack. Numbers are whole: demand in
-hundredths of a slot, service in cost units.
+slots, service in cost units, prices in hundredths of a slot.
 """
 
 import hmac
@@ -88,7 +88,7 @@
     Attributes:
         level: Price of the pool in hundredths of a slot; -1 when demand fits.
         n_slots: Slots of the pool, in hundredths.
-        demand: Demand over the whole fleet, in hundredths of a slot.
+        demand: Demand over the whole fleet, in slots.
         n_routers: Routers that the sums stand for.
         organisations: Demand and service over the whole fleet, for organisations
             that the child reported.
--- a/src/chicorylead/platform/api.py
+++ b/src/chicorylead/platform/api.py
@@ -98,8 +98,13 @@
     """The seam between the system and the platform.
 
     Every method raises PlatformUnavailable when no answer came in time.
+
+    Attributes:
+        n_bytes: Wire bytes so far, by what they were for.
     """
 
+    n_bytes: dict[str, int]
+
     async def append(self, stream: str, data: str) -> Offset:
         """Append an entry and return its offset."""
 
--- a/src/chicorylead/platform/http.py
+++ b/src/chicorylead/platform/http.py
@@ -13,6 +13,8 @@
 
 T = TypeVar("T")
 
+WIRE_OVERHEAD_BYTES = 480  # HTTP, TCP and IP headers of a call, its answer, acks
+
 
 class HttpPlatform:
     """Speak to the platform over HTTP.
@@ -26,7 +28,12 @@
         self._cfg = cfg
         headers = {"Authorization": f"Bearer {cfg.token}", "X-Viewer": viewer}
         connector = TCPConnector(limit=16, keepalive_timeout=15.0)
-        self._session = ClientSession(connector=connector, headers=headers)
+        self._session = ClientSession(
+            connector=connector,
+            headers=headers,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        self.n_bytes: dict[str, int] = {}
 
     async def append(self, stream: str, data: str) -> Offset:
         """Append an entry and return its offset."""
@@ -64,6 +71,7 @@
                 method, url, data=data, timeout=timeout
             ) as resp:
                 body = await resp.read()
+                self._count(path, len(data or b"") + len(body))
                 if resp.status != 200:
                     raise PlatformUnavailable(f"{method} {path}: {resp.status}")
                 return body
@@ -71,6 +79,13 @@
             reason = str(exc) or type(exc).__name__
             raise PlatformUnavailable(f"{method} {path}: {reason}") from exc
 
+    def _count(self, path: str, n_payload: int) -> None:
+        """Count wire bytes by what is asked for: a stream, the list, the store."""
+        part = path.partition("?")[0].strip("/").replace("/", ".")
+        subject = part.partition("-")[0]
+        n_wire = n_payload + len(path) + WIRE_OVERHEAD_BYTES
+        self.n_bytes[subject] = self.n_bytes.get(subject, 0) + n_wire
+
     def _decode(self, body: bytes, type_: type[T]) -> T:
         try:
             return msgspec.json.decode(body, type=type_)
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -184,6 +184,7 @@
             self.poison,
             self._levels,
             self.hub,
+            self._platform.n_bytes,
             self.log,
             self._metrics,
         )
--- a/src/chicorylead/router/operators.py
+++ b/src/chicorylead/router/operators.py
@@ -1,6 +1,6 @@
 """The operators' interface: publish records, read back what is in force, resolve."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 from msgspec import Struct
@@ -65,6 +65,7 @@
         poison: PoisonList,
         levels: LevelBook,
         hub: LinkHub,
+        platform_bytes: Mapping[str, int],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -78,6 +79,7 @@
         self._poison = poison
         self._levels = levels
         self._hub = hub
+        self._platform_bytes = platform_bytes
         self._log = log
         self._metrics = metrics
 
@@ -151,6 +153,7 @@
             "report_period_s": self._hub.period_s,
             "control_bytes_sent": self._hub.budget.n_sent,
             "control_bytes_received": self._hub.budget.n_received,
+            "platform_bytes": self._platform_bytes,
             "n_claim_keys": self._claimer.n_keys(),
             "poison": self._poison.convicts(),
             "counts": self._metrics.totals,
--- a/src/chicorylead/sharing/exchange.py
+++ b/src/chicorylead/sharing/exchange.py
@@ -19,7 +19,7 @@
 __all__ = ["FleetExchange", "organisation_number"]
 
 HUNDREDTHS = 100
-CHILD_TTL_S = 3.0
+CHILD_TTL_S = 6.0
 QUIET_S = 5.0
 
 
@@ -78,7 +78,7 @@
             self._add(number, served - self._own_served.get(number, 0), now)
             self._own_served[number] = served
         return {
-            self._number(organisation): int(demand * HUNDREDTHS)
+            self._number(organisation): int(demand)
             for organisation, demand in self.pool.demands().items()
         }
 
@@ -86,8 +86,7 @@
         """Return the number of routers and the sums by organisation."""
         demands = self.add_own(now)
         self.reported = {
-            self.names[number]: demand / HUNDREDTHS
-            for number, demand in demands.items()
+            self.names[number]: float(demand) for number, demand in demands.items()
         }
         n_routers = 1
         for child, report in list(self.children.items()):
@@ -191,14 +190,14 @@
             sums.pool.ledger.mark_report(now)
             n_slots = self._n_slots(service)
             pairs = [
-                (demand / HUNDREDTHS, self._share_of(number))
+                (float(demand), self._share_of(number))
                 for number, (demand, _) in organisations.items()
             ]
             level = price(pairs, n_slots)
             down = PoolDown(
                 -1 if level == inf else int(level * HUNDREDTHS),
                 int(n_slots * HUNDREDTHS),
-                int(sum(demand for demand, _ in pairs) * HUNDREDTHS),
+                int(sum(demand for demand, _ in pairs)),
                 n_routers,
                 organisations,
             )
@@ -250,9 +249,9 @@
         pool.fleet = FleetState(
             level=inf if down.level < 0 else down.level / HUNDREDTHS,
             n_slots=down.n_slots / HUNDREDTHS,
-            demand=down.demand / HUNDREDTHS,
+            demand=float(down.demand),
             n_routers=down.n_routers,
-            demands={name: total[0] / HUNDREDTHS for name, total in known.items()},
+            demands={name: float(total[0]) for name, total in known.items()},
             own_demands=dict(sums.reported),
         )
         pool.pump()
