Answer reports at once, count committed work, correct shares by lag

Cause: a report took two periods on its way through the root, so that prices were old; a router did not know of long requests that the same organisation had in flight elsewhere; single small organisations kept lags for good.

--- a/bench/load.py
+++ b/bench/load.py
@@ -19,6 +19,7 @@
 from bench.profile import OrganisationPlan
 from chicorylead.standin.engine import token_at
 from chicorylead.standin.service import answer_to
+from chicorylead.vm.rendezvous import hash64
 
 __all__ = ["Callers", "End", "Sent", "Work"]
 
@@ -175,7 +176,8 @@
         """Ask any entry VM; keep the old answer when none answers."""
         entries = [r.caller_address for r in self._fleet.routers.values()]
         self._rng.shuffle(entries)
-        zone = self._rng.choice(self._fleet.profile.zones)
+        zones = self._fleet.profile.zones
+        zone = zones[hash64(plan.name) % len(zones)]
         for entry in entries:
             try:
                 async with self._session.get(
--- a/src/chicorylead/link/hub.py
+++ b/src/chicorylead/link/hub.py
@@ -38,7 +38,7 @@
 
 __all__ = ["LinkHub", "ReportSource"]
 
-WIRE_OVERHEAD_BYTES = 140  # TCP, IP and nng headers of a message and of its ack
+WIRE_OVERHEAD_BYTES = 112  # TCP, IP and nng headers of a message and of its ack
 REPORT_PART = 0.6  # the rest is left to reports out of turn and the platform
 URGENT_GAP_S = 0.05
 URGENT_CREDIT_PER_PERIOD = 0.25
@@ -47,12 +47,19 @@
 PROBE_PERIOD_S = 3.0
 NOTICE_REPEATS = 3
 MAX_NOTICES = 24
+NOTICE_MEMORY_S = 10.0
 SEND_BUFFER = 16
 CHILD_TTL_S = 6.0
 
 
 class ReportSource(Protocol):
-    """What the hub needs from the parts that reports are made of."""
+    """What the hub needs from the parts that reports are made of.
+
+    Attributes:
+        round_trip_s: Time that a report takes to the root and back, seconds.
+    """
+
+    round_trip_s: float
 
     def build_up(self) -> dict[str, PoolUp]:
         """Return the pool parts of a report to the parent."""
@@ -117,7 +124,8 @@
     urgent: asyncio.Event = field(default_factory=asyncio.Event)
     notices: deque[tuple[Notice, int]] = field(default_factory=deque)
     heard_at: float = 0.0
-    last_sequence: tuple[int, int] = (0, 0)
+    heard_sequence: int = 0
+    confirmed_at: float = 0.0
     period_s: float = 0.0
     urgent_credit: float = MAX_URGENT_CREDIT
     task: asyncio.Task[None] | None = None
@@ -243,8 +251,8 @@
         while True:
             self._choose_links()
             if self._parent() is None:
-                self._source.close_round()
                 self._root = (self._own.id, self._own.incarnation, 0)
+                self._source.close_round()
             await asyncio.sleep(max(0.1, self.period_s / 2))
 
     @property
@@ -270,9 +278,10 @@
             self._peers[parent].is_parent = True
 
     def _open(self, router: RouterId, address: str, is_parent: bool) -> _Peer:
-        peer = _Peer(router, address, is_parent, heard_at=self._clock())
+        now = self._clock()
+        peer = _Peer(router, address, is_parent, heard_at=now, confirmed_at=now)
         self._peers[router] = peer
-        horizon = self._clock() - 10.0
+        horizon = now - NOTICE_MEMORY_S
         for at, notice in self._recent:
             if at > horizon:
                 peer.notices.append((notice, NOTICE_REPEATS))
@@ -321,15 +330,28 @@
         return max(self._cfg.silence_s, 3.0 * max(peer.period_s, self.period_s))
 
     async def _report_until_silent(self, peer: _Peer, sock: pynng.Push0) -> None:
+        """Report to a parent at the period, to a child in answer to its reports."""
         dialled_at = self._clock()
+        first_sequence = self._sequence + 1
         while True:
-            self._send_report(peer, sock)
-            silence_s = self._silence_s(peer)
-            if self._clock() - max(peer.heard_at, dialled_at) > silence_s:
+            if peer.is_parent:
+                self._send_report(peer, sock)
+            elif peer.urgent.is_set():
+                peer.urgent.clear()
+                self._send_report(peer, sock)
+                if peer.heard_sequence >= first_sequence:
+                    peer.confirmed_at = self._clock()
+            proof_at = max(dialled_at, self._proof_at(peer))
+            if self._clock() - proof_at > self._silence_s(peer):
                 return
-            await asyncio.sleep(URGENT_GAP_S)
+            if peer.is_parent:
+                await asyncio.sleep(URGENT_GAP_S)
             await self._wait_for_turn(peer)
 
+    def _proof_at(self, peer: _Peer) -> float:
+        """Return when it was last known that the link carries both ways."""
+        return peer.heard_at if peer.is_parent else peer.confirmed_at
+
     async def _wait_for_turn(self, peer: _Peer) -> None:
         """Wait for the period of the slower end, or for something urgent."""
         period_s = max(self.period_s, peer.period_s) * self._rng.uniform(0.9, 1.1)
@@ -339,14 +361,16 @@
         except TimeoutError:
             grown = peer.urgent_credit + URGENT_CREDIT_PER_PERIOD
             peer.urgent_credit = min(MAX_URGENT_CREDIT, grown)
-        peer.urgent.clear()
+        if peer.is_parent:
+            peer.urgent.clear()
 
     def _send_report(self, peer: _Peer, sock: pynng.Push0) -> None:
         notices = self._take_notices(peer)
         config = self.config_offset()
         if peer.is_parent:
-            up = Up(self.address, config, self._source.build_up(), notices)
-            self._send(sock, up)
+            link = "" if self._own.listed else self.address
+            pools = self._source.build_up()
+            self._send(sock, Up(link, peer.heard_sequence, config, pools, notices))
             return
         if self._root is None:
             return
@@ -406,6 +430,8 @@
         peer = self._peers.get(sender)
         if peer is not None:
             peer.heard_at = self._clock()
+            if peer.is_parent:
+                peer.heard_sequence = envelope.sequence
         match envelope.payload:
             case Up() as up:
                 self._take_up(envelope, up, member)
@@ -428,7 +454,12 @@
             peer = self._open(sender, address, is_parent=False)
         if peer.is_parent:
             return
+        peer.heard_sequence = up.heard
         self._source.take_up(sender, envelope.incarnation, up)
+        if self._parent() is None:
+            self._source.round_trip_s = 2.0 * self.period_s
+            self._source.close_round()
+        peer.urgent.set()
         self._note_config(sender, up.config)
         self._take_notices_in(up.notices, sender)
 
--- a/src/chicorylead/link/message.py
+++ b/src/chicorylead/link/message.py
@@ -25,6 +25,7 @@
     "PoolDown",
     "PoolUp",
     "Probe",
+    "Total",
     "RecordsAnswer",
     "RecordsQuery",
     "RouterNotice",
@@ -34,7 +35,8 @@
 
 MAC_BYTES = 12
 MAX_MESSAGE_BYTES = 1_000_000
-Demand = tuple[int, int]
+Demand = tuple[int, int, int]
+Total = tuple[int, int, int, int]
 
 
 class BadMessage(Exception):
@@ -74,8 +76,9 @@
 
     Attributes:
         n_routers: Routers that the sums stand for.
-        organisations: By organisation number, demand and service; sums over the
-            sender and all that report to it.
+        organisations: By organisation number, demand, service and the expected
+            cost still outstanding of requests in flight; sums over the sender and
+            all that report to it.
     """
 
     n_routers: int
@@ -90,26 +93,31 @@
         n_slots: Slots of the pool, in hundredths.
         demand: Demand over the whole fleet, in slots.
         n_routers: Routers that the sums stand for.
-        organisations: Demand and service over the whole fleet, for organisations
-            that the child reported.
+        organisations: Demand, service, outstanding cost and correction of the
+            share in percent, over the whole fleet, for organisations that the child
+            reported.
     """
 
     level: int
     n_slots: int
     demand: int
     n_routers: int
-    organisations: dict[int, Demand]
+    organisations: dict[int, Total]
 
 
 class Up(Struct, frozen=True, array_like=True, tag="up"):
     """Report of a subtree to its parent; also its heartbeat.
 
     Attributes:
-        link: Address on which the sender takes messages.
+        link: Address on which the sender takes messages; empty when the platform's
+            list holds it.
+        heard: Sequence of the parent's last message, so that the parent notices
+            when its own connection went silent.
         config: Highest offset of configuration in force at the sender.
     """
 
     link: str
+    heard: int
     config: Offset
     pools: dict[str, PoolUp]
     notices: list[Notice]
--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -33,6 +33,7 @@
 MAX_KEPT_ANSWER_BYTES = 16_384
 HOLDER_GONE_POLL_S = 0.5
 UNSETTLED_MARGIN_S = 0.2
+TIME_LEFT_PART = 0.8
 
 
 @dataclass(slots=True)
@@ -123,6 +124,7 @@
         pool = self._ready_pool(req)
         length = pool.costs.predict(req.organisation, req.operation, req.hint)
         ticket = await self._acquire(pool, req, length)
+        self._check_time_left(pool, req, ticket)
         cost = 0.0
         attempts = self._attempts(req, pool, length)
         try:
@@ -309,6 +311,24 @@
         self._metrics.timing("queue.wait", self._clock() - started)
         return ticket
 
+    def _check_time_left(
+        self, pool: ServicePool, req: CallerRequest, ticket: Ticket
+    ) -> None:
+        """Give a slot back that can no longer lead to an answer in time.
+
+        Raises:
+            Refusal: DEADLINE_IN_QUEUE.
+        """
+        expected_s = ticket.length.cost * pool.upstreams.typical_token_s()
+        left_s = req.deadline - self._clock()
+        if left_s > TIME_LEFT_PART * expected_s:
+            return
+        pool.queue.release(ticket)
+        raise Refusal(
+            ErrorKind.DEADLINE_IN_QUEUE,
+            f"{left_s:.3f} s are left for about {expected_s:.3f} s of work",
+        )
+
     def _attempts(
         self, req: CallerRequest, pool: ServicePool, length: LengthClass
     ) -> Attempts:
--- a/src/chicorylead/sharing/cost.py
+++ b/src/chicorylead/sharing/cost.py
@@ -1,4 +1,8 @@
-"""Predict what a request will cost from what earlier ones of its kind cost."""
+"""Predict what a request will cost from what earlier ones of its kind cost.
+
+A kind that an organisation has not used enough is predicted from what the operation
+cost others.
+"""
 
 from dataclasses import dataclass, field
 from math import exp, log
@@ -11,7 +15,7 @@
 MIN_SAMPLES = 5
 MAX_KINDS = 20_000
 LONG_RATIO = 4.0
-SECOND = 1.0
+ANY_ORGANISATION = ""
 
 
 @dataclass(slots=True)
@@ -70,13 +74,17 @@
             operation: Operation of the service.
             hint: The caller's own estimate, in cost units; only a prior.
         """
-        kind = self._kinds.get((organisation, operation, _size(hint)))
-        if kind is not None and kind.n_samples >= MIN_SAMPLES:
-            cost = kind.typical
-        elif hint is not None and hint > 0:
-            cost = hint
-        else:
-            cost = self._typical()
+        size = _size(hint)
+        own = self._kinds.get((organisation, operation, size))
+        common = self._kinds.get((ANY_ORGANISATION, operation, size))
+        for kind in (own, common):
+            if kind is not None and kind.n_samples >= MIN_SAMPLES:
+                return self._classify(kind.typical)
+        if hint is not None and hint > 0:
+            return self._classify(hint)
+        return self._classify(self._typical())
+
+    def _classify(self, cost: float) -> LengthClass:
         return LengthClass(cost, cost > LONG_RATIO * self._typical())
 
     def learn(
@@ -87,14 +95,18 @@
         cost: float,
     ) -> None:
         """Take in the true cost of a request that ended."""
-        key = (organisation, operation, _size(hint))
+        size = _size(hint)
+        self._kind((organisation, operation, size)).add(cost)
+        self._kind((ANY_ORGANISATION, operation, size)).add(cost)
+        self._all.add(cost)
+
+    def _kind(self, key: tuple[str, str, int]) -> _Kind:
         kind = self._kinds.get(key)
         if kind is None:
             if len(self._kinds) >= MAX_KINDS:
                 self._kinds.pop(next(iter(self._kinds)))
             kind = self._kinds[key] = _Kind()
-        kind.add(cost)
-        self._all.add(cost)
+        return kind
 
     def _typical(self) -> float:
         return self._all.typical if self._all.n_samples >= MIN_SAMPLES else self.prior
--- a/src/chicorylead/sharing/exchange.py
+++ b/src/chicorylead/sharing/exchange.py
@@ -12,6 +12,7 @@
 
 from chicorylead.ids import Incarnation, OrganisationId, RouterId, ServiceName
 from chicorylead.link.message import Demand, Down, PoolDown, PoolUp, Up
+from chicorylead.sharing.balance import Balance, Standing
 from chicorylead.sharing.pool import FairPool, FleetState
 from chicorylead.sharing.split import price
 from chicorylead.vm.rendezvous import hash64
@@ -19,13 +20,16 @@
 __all__ = ["FleetExchange", "organisation_number"]
 
 HUNDREDTHS = 100
+PERCENT = 100
+SCARCE_PART = 0.5
+ANYONE = 0  # stands for all organisations together
 CHILD_TTL_S = 6.0
 QUIET_S = 5.0
 
 
 def organisation_number(organisation: OrganisationId) -> int:
     """Return the number that stands for an organisation in reports."""
-    return hash64("organisation", organisation) & 0xFFFFFFFF
+    return 1 + hash64("organisation", organisation) % 0xFFFFFFFF
 
 
 @dataclass(slots=True)
@@ -37,6 +41,7 @@
     n_routers: int = 0
     demands: dict[int, int] = field(default_factory=dict)
     served: dict[int, int] = field(default_factory=dict)
+    outstanding: dict[int, int] = field(default_factory=dict)
 
 
 class _PoolSums:
@@ -47,6 +52,7 @@
         self.children: dict[RouterId, _ChildReport] = {}
         self.served: dict[int, int] = {}
         self.down: PoolDown | None = None
+        self.balance = Balance()
         self._own_served: dict[int, int] = {}
         self._changed_at: dict[int, float] = {}
         self.names: dict[int, OrganisationId] = {}
@@ -61,8 +67,10 @@
         report.at = now
         report.n_routers = up.n_routers
         report.demands = {}
-        for number, (demand, served) in up.organisations.items():
+        report.outstanding = {}
+        for number, (demand, served, outstanding) in up.organisations.items():
             report.demands[number] = demand
+            report.outstanding[number] = outstanding
             before = report.served.get(number, served)
             report.served[number] = max(before, served)
             self._add(number, max(0, served - before), now)
@@ -70,13 +78,28 @@
     def drop_child(self, child: RouterId) -> None:
         self.children.pop(child, None)
 
+    def is_scarce(self) -> bool:
+        """Tell whether organisations have to be told apart in reports."""
+        fleet = self.pool.fleet
+        is_busy = fleet.demand >= SCARCE_PART * fleet.n_slots
+        return is_busy or self.pool.n_waiting() > 0
+
     def add_own(self, now: float) -> dict[int, int]:
-        """Add this router's service to the sums and return its demand."""
+        """Add this router's service to the sums and return its demand.
+
+        While slots are plenty, only the whole demand counts: service that nobody
+        waited for is charged to nobody.
+        """
+        is_scarce = self.is_scarce()
         for organisation, account in self.pool.ledger.accounts().items():
             number = self._number(organisation)
             served = int(account.served)
-            self._add(number, served - self._own_served.get(number, 0), now)
+            if is_scarce:
+                self._add(number, served - self._own_served.get(number, 0), now)
             self._own_served[number] = served
+        if not is_scarce:
+            demand = int(sum(self.pool.demands().values()))
+            return {ANYONE: demand} if demand else {}
         return {
             self._number(organisation): int(demand)
             for organisation, demand in self.pool.demands().items()
@@ -85,8 +108,11 @@
     def sums(self, now: float) -> tuple[int, dict[int, Demand]]:
         """Return the number of routers and the sums by organisation."""
         demands = self.add_own(now)
+        outstanding = self._mark_outstanding()
         self.reported = {
-            self.names[number]: float(demand) for number, demand in demands.items()
+            self.names[number]: float(demand)
+            for number, demand in demands.items()
+            if number != ANYONE
         }
         n_routers = 1
         for child, report in list(self.children.items()):
@@ -96,11 +122,24 @@
             n_routers += report.n_routers
             for number, demand in report.demands.items():
                 demands[number] = demands.get(number, 0) + demand
+            for number, cost in report.outstanding.items():
+                outstanding[number] = outstanding.get(number, 0) + cost
         active = {n for n, at in self._changed_at.items() if at > now - QUIET_S}
         active.update(demands)
-        return n_routers, {
-            n: (demands.get(n, 0), self.served.get(n, 0)) for n in active
+        sums = {
+            n: (demands.get(n, 0), self.served.get(n, 0), outstanding.get(n, 0))
+            for n in active
         }
+        return n_routers, sums
+
+    def _mark_outstanding(self) -> dict[int, int]:
+        """Return the outstanding cost here, and remember it as reported."""
+        found = {}
+        for organisation, account in self.pool.ledger.accounts().items():
+            account.reported_outstanding = account.outstanding
+            if account.outstanding >= 1.0 and self.is_scarce():
+                found[self._number(organisation)] = int(account.outstanding)
+        return found
 
     def _add(self, number: int, grown: int, now: float) -> None:
         if grown > 0 or number not in self.served:
@@ -116,6 +155,9 @@
 class FleetExchange:
     """Build and take in the pool parts of reports.
 
+    Attributes:
+        round_trip_s: Time that a report takes to the root and back, seconds.
+
     Args:
         router: This router.
         incarnation: Its incarnation.
@@ -137,6 +179,7 @@
         self._sums: dict[ServiceName, _PoolSums] = {}
         self._clock = asyncio.get_running_loop().time
         self._sent_demand = 0.0
+        self.round_trip_s = 0.0
 
     def add_pool(self, pool: FairPool) -> None:
         """Include a pool in reports."""
@@ -188,26 +231,55 @@
         for service, sums in self._sums.items():
             n_routers, organisations = sums.sums(now)
             sums.pool.ledger.mark_report(now)
-            n_slots = self._n_slots(service)
-            pairs = [
-                (float(demand), self._share_of(number))
-                for number, (demand, _) in organisations.items()
-            ]
-            level = price(pairs, n_slots)
-            down = PoolDown(
-                -1 if level == inf else int(level * HUNDREDTHS),
-                int(n_slots * HUNDREDTHS),
-                int(sum(demand for demand, _ in pairs)),
-                n_routers,
-                organisations,
-            )
+            down = self._price(service, sums, n_routers, organisations, now)
             self._apply(sums, down, (self._router, self._incarnation), 0.0)
         self._sent_demand = self._demand()
 
+    def _price(
+        self,
+        service: ServiceName,
+        sums: _PoolSums,
+        n_routers: int,
+        organisations: dict[int, Demand],
+        now: float,
+    ) -> PoolDown:
+        """Set the price of a pool, with shares corrected by earlier lags."""
+        n_slots = self._n_slots(service)
+        shares = {number: self._share_of(number) for number in organisations}
+        known = {n: d for n, d in organisations.items() if shares[n] > 0}
+        level = price([(float(d), shares[n]) for n, (d, *_) in known.items()], n_slots)
+        standings = {
+            n: Standing(
+                shares[n],
+                served,
+                outstanding,
+                level < inf and demand > shares[n] * level,
+            )
+            for n, (demand, served, outstanding) in known.items()
+        }
+        factors = sums.balance.update(standings, now, self.round_trip_s)
+        corrected = [
+            (float(demand), shares[n] * factors.get(n, 1.0))
+            for n, (demand, *_) in known.items()
+        ]
+        level = price(corrected, n_slots)
+        totals = {
+            n: (*sums_of, int(factors.get(n, 1.0) * PERCENT))
+            for n, sums_of in known.items()
+        }
+        return PoolDown(
+            -1 if level == inf else int(level * HUNDREDTHS),
+            int(n_slots * HUNDREDTHS),
+            sum(demand for demand, *_ in organisations.values()),
+            n_routers,
+            totals,
+        )
+
     def take_down(self, down: Down) -> None:
         """Take in the report of the parent."""
         source = (down.root, down.root_incarnation)
         delay_s = (down.depth + 1) * down.period_ms / 1000.0
+        self.round_trip_s = delay_s
         for service, pool_down in down.pools.items():
             sums = self._sums.get(ServiceName(service))
             if sums is not None:
@@ -245,7 +317,8 @@
         }
         shares = {name: self._share_of(organisation_number(name)) for name in known}
         served = {name: float(total[1]) for name, total in known.items()}
-        pool.ledger.take_fleet_totals(source, served, shares)
+        outstanding = {name: float(total[2]) for name, total in known.items()}
+        pool.ledger.take_fleet_totals(source, served, outstanding, shares)
         pool.fleet = FleetState(
             level=inf if down.level < 0 else down.level / HUNDREDTHS,
             n_slots=down.n_slots / HUNDREDTHS,
@@ -253,5 +326,6 @@
             n_routers=down.n_routers,
             demands={name: float(total[0]) for name, total in known.items()},
             own_demands=dict(sums.reported),
+            factors={name: total[3] / PERCENT for name, total in known.items()},
         )
         pool.pump()
--- a/src/chicorylead/sharing/ledger.py
+++ b/src/chicorylead/sharing/ledger.py
@@ -25,6 +25,8 @@
         served: Cost that this router delivered, in cost units; only grows.
         fleet: Virtual time from service reported over the whole fleet.
         outstanding: Expected cost of requests in flight here, not yet delivered.
+        reported_outstanding: What the last report said of it.
+        elsewhere: Outstanding cost at other routers.
         reported: Recent totals of `served` that may not be in `fleet` yet.
     """
 
@@ -32,6 +34,8 @@
     fleet: float = 0.0
     fleet_total: float | None = None
     outstanding: float = 0.0
+    reported_outstanding: float = 0.0
+    elsewhere: float = 0.0
     reported: deque[tuple[float, float]] = field(default_factory=deque)
 
     def unreported(self, now: float, delay_s: float) -> float:
@@ -76,8 +80,9 @@
     ) -> float:
         """Return the virtual time by which the next request is chosen."""
         account = self.account(organisation)
-        recent = account.unreported(now, self.delay_s) + account.outstanding
-        return account.fleet + recent / share
+        recent = account.unreported(now, self.delay_s)
+        committed = account.outstanding + account.elsewhere
+        return account.fleet + (recent + committed) / share
 
     def mark_report(self, now: float) -> None:
         """Remember the totals that a report is about to carry."""
@@ -90,6 +95,7 @@
         self,
         source: object,
         totals: dict[OrganisationId, float],
+        outstanding: dict[OrganisationId, float],
         shares: dict[OrganisationId, float],
     ) -> None:
         """Advance virtual times by the growth of the fleet's totals.
@@ -98,6 +104,7 @@
             source: Identity of who added the totals up. Totals of different
                 sources are not compared.
             totals: Service over the whole fleet, in cost units.
+            outstanding: Cost still to come of requests in flight, fleet-wide.
             shares: Share of each organisation.
         """
         same_source = source == self._source
@@ -108,6 +115,8 @@
                 grown = max(0.0, total - account.fleet_total)
                 account.fleet += grown / max(shares.get(organisation, 0.0), 1e-9)
             account.fleet_total = total
+            whole = outstanding.get(organisation, 0.0)
+            account.elsewhere = max(0.0, whole - account.reported_outstanding)
 
     def wake(self, organisation: OrganisationId, active: list[OrganisationId]) -> None:
         """Bring an organisation back from idle at the fleet's virtual time.
--- a/src/chicorylead/sharing/pool.py
+++ b/src/chicorylead/sharing/pool.py
@@ -44,6 +44,7 @@
         n_routers: Routers that report demand.
         demands: Demand over the fleet by organisation, in slots.
         own_demands: The part of `demands` that this router had reported.
+        factors: Corrections of shares, by what organisations missed earlier.
     """
 
     level: float = inf
@@ -52,6 +53,7 @@
     n_routers: int = 1
     demands: dict[OrganisationId, float] = field(default_factory=dict)
     own_demands: dict[OrganisationId, float] = field(default_factory=dict)
+    factors: dict[OrganisationId, float] = field(default_factory=dict)
 
 
 @dataclass(eq=False, slots=True)
@@ -283,7 +285,7 @@
                 continue
             before = fleet.own_demands.get(organisation, 0.0)
             others = max(0.0, fleet.demands.get(organisation, 0.0) - before)
-            share = self._shares[organisation]
+            share = self._shares[organisation] * fleet.factors.get(organisation, 1.0)
             total += allowance(own, others + own, share, fleet.level)
             demand += own
             reported += min(own, before)
--- a/src/chicorylead/vm/view.py
+++ b/src/chicorylead/vm/view.py
@@ -82,6 +82,7 @@
         self.own = own
         self.list_version = 0
         self.n_changes = 0
+        own.listed = False
         self._members: dict[RouterId, Member] = {own.id: own}
         self._on_news = on_news
         self._listed_upstreams: dict[UpstreamId, VmEntry] = {}
