Dither split slots, count overhang, keep links to routers not yet listed

Cause: a parent that had not yet read the platform's list dialled an empty address, so that the child declared it gone every four seconds and queues there starved; an organisation above its part squeezed its neighbours on the same router; every router gave at least one slot to an organisation far ahead of its share. Change: a child names its address until the parent answers; links look addresses up at each dial; what an organisation holds beyond its part is added to the limit, by a quarter at most; parts of slots are dithered; corrections may go down to a twentieth.

--- a/src/chicorylead/link/hub.py
+++ b/src/chicorylead/link/hub.py
@@ -304,7 +304,7 @@
         n_dials = 0
         while True:
             n_dials += 1
-            with self._dial(peer.address) as sock:
+            with self._dial(self._address_of(peer)) as sock:
                 await self._report_until_silent(peer, sock)
             self._metrics.count("link.redials")
             silent_s = self._clock() - max(peer.heard_at, opened_at)
@@ -313,6 +313,12 @@
                 self._declare_gone(peer)
                 return
 
+    def _address_of(self, peer: _Peer) -> str:
+        """Return where a peer is now: a VM that was replaced has a new address."""
+        assert self._view is not None
+        member = self._view.member(peer.id)
+        return member.link if member is not None and member.link else peer.address
+
     def _declare_gone(self, peer: _Peer) -> None:
         assert self._view is not None
         peer.task = None
@@ -368,7 +374,9 @@
         notices = self._take_notices(peer)
         config = self.config_offset()
         if peer.is_parent:
-            link = "" if self._own.listed else self.address
+            # A parent that has not answered may not have this router listed yet.
+            is_known = self._own.listed and peer.heard_sequence > 0
+            link = "" if is_known else self.address
             pools = self._source.build_up()
             self._send(sock, Up(link, peer.heard_sequence, config, pools, notices))
             return
@@ -451,6 +459,8 @@
         peer = self._peers.get(sender)
         if peer is None:
             address = member.link if member is not None and member.link else up.link
+            if not address:
+                return
             peer = self._open(sender, address, is_parent=False)
         if peer.is_parent:
             return
--- a/src/chicorylead/sharing/balance.py
+++ b/src/chicorylead/sharing/balance.py
@@ -12,6 +12,7 @@
 HORIZON_S = 4.0
 HORIZON_DELAYS = 3.0
 MAX_FACTOR = 2.0
+MIN_FACTOR = 0.05
 RATE_SMOOTHING = 0.3
 UNIT_FACTOR = 1.0
 
@@ -100,4 +101,4 @@
         if self._rate <= 0:
             return UNIT_FACTOR
         factor = UNIT_FACTOR + lag / (self._rate * horizon_s)
-        return min(MAX_FACTOR, max(1.0 / MAX_FACTOR, factor))
+        return min(MAX_FACTOR, max(MIN_FACTOR, factor))
--- a/src/chicorylead/sharing/exchange.py
+++ b/src/chicorylead/sharing/exchange.py
@@ -22,6 +22,7 @@
 HUNDREDTHS = 100
 PERCENT = 100
 SCARCE_PART = 0.5
+GOLDEN_RATIO = 0.618034
 ANYONE = 0  # stands for all organisations together
 CHILD_TTL_S = 6.0
 QUIET_S = 5.0
@@ -326,6 +327,7 @@
             n_routers=down.n_routers,
             demands={name: float(total[0]) for name, total in known.items()},
             own_demands=dict(sums.reported),
+            dither=(pool.fleet.dither + GOLDEN_RATIO) % 1.0,
             factors={name: total[3] / PERCENT for name, total in known.items()},
         )
         pool.pump()
--- a/src/chicorylead/sharing/ledger.py
+++ b/src/chicorylead/sharing/ledger.py
@@ -53,10 +53,12 @@
 
     Attributes:
         delay_s: Time that a report takes to come back in the fleet's totals.
+        floor: Virtual time at which organisations come back from idle.
     """
 
     def __init__(self) -> None:
         self.delay_s = 0.0
+        self.floor = 0.0
         self._accounts: dict[OrganisationId, Account] = {}
         self._source: object = None
 
@@ -119,11 +121,16 @@
             account.elsewhere = max(0.0, whole - account.reported_outstanding)
 
     def wake(self, organisation: OrganisationId, active: list[OrganisationId]) -> None:
-        """Bring an organisation back from idle at the fleet's virtual time.
+        """Bring an organisation back from idle at the pool's virtual time.
 
         It may not claim service for the time in which it asked for none.
+
+        Args:
+            organisation: Who comes back.
+            active: Organisations that wait or are served here.
         """
-        others = [self.account(o).fleet for o in active if o != organisation]
-        if others:
-            account = self.account(organisation)
-            account.fleet = max(account.fleet, min(others))
+        times = [self.account(other).fleet for other in active]
+        if times:
+            self.floor = max(self.floor, min(times))
+        account = self.account(organisation)
+        account.fleet = max(account.fleet, self.floor)
--- a/src/chicorylead/sharing/pool.py
+++ b/src/chicorylead/sharing/pool.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
-from math import ceil, inf
+from math import ceil, floor, inf
 
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.ids import OrganisationId, ServiceName
@@ -23,6 +23,8 @@
 LONG_PART = 0.6
 SHORT_EXTRA_PART = 0.25
 ROUND_UP_FROM = 0.25
+ROUNDING_BIAS = 0.1
+OVERHANG_PART = 0.25
 
 
 class SharingMode(Enum):
@@ -45,6 +47,7 @@
         demands: Demand over the fleet by organisation, in slots.
         own_demands: The part of `demands` that this router had reported.
         factors: Corrections of shares, by what organisations missed earlier.
+        dither: Added before rounding down; runs evenly through 0 to 1.
     """
 
     level: float = inf
@@ -54,6 +57,7 @@
     demands: dict[OrganisationId, float] = field(default_factory=dict)
     own_demands: dict[OrganisationId, float] = field(default_factory=dict)
     factors: dict[OrganisationId, float] = field(default_factory=dict)
+    dither: float = 0.5
 
 
 @dataclass(eq=False, slots=True)
@@ -167,7 +171,7 @@
             )
         self._shares[organisation] = share
         if not line and not line.n_in_flight:
-            self.ledger.wake(organisation, self._waiting())
+            self.ledger.wake(organisation, list(self.waiting_by_organisation()))
         fut = asyncio.get_running_loop().create_future()
         ticket = Ticket(organisation, share, length, self._clock(), fut)
         line.add(ticket)
@@ -260,12 +264,11 @@
         if self.mode is SharingMode.LOCAL:
             return min(waiting, key=lambda ticket: ticket.queued_at)
         now = self._clock()
-        best = min(
-            waiting,
-            key=lambda ticket: self.ledger.virtual_time(
-                ticket.organisation, ticket.share, now
-            ),
-        )
+        times = {
+            ticket: self.ledger.virtual_time(ticket.organisation, ticket.share, now)
+            for ticket in waiting
+        }
+        best = min(waiting, key=times.__getitem__)
         for ticket in waiting:
             if ticket is not best:
                 ticket.why_waiting = f"{best.organisation} had less for its share"
@@ -278,7 +281,7 @@
         fleet = self.fleet
         if self.mode is SharingMode.LOCAL:
             return max(1.0, fleet.n_slots / max(1, fleet.n_routers))
-        demand = reported = total = 0.0
+        demand = reported = total = held = 0.0
         for organisation, line in self._lines.items():
             own = float(len(line) + line.n_in_flight)
             if not own:
@@ -286,14 +289,21 @@
             before = fleet.own_demands.get(organisation, 0.0)
             others = max(0.0, fleet.demands.get(organisation, 0.0) - before)
             share = self._shares[organisation] * fleet.factors.get(organisation, 1.0)
-            total += allowance(own, others + own, share, fleet.level)
+            part = allowance(own, others + own, share, fleet.level)
+            total += part
+            # What an organisation holds beyond its part cannot be taken back, and
+            # must not be taken from its neighbours.
+            held += max(0.0, line.n_in_flight - max(1.0, part))
             demand += own
             reported += min(own, before)
         if fleet.level == inf:
             spare = max(0.0, fleet.n_slots - fleet.demand) / max(1, fleet.n_routers)
             total = min(demand, reported + max(1.0, spare))
-        rounded = ceil(total - ROUND_UP_FROM)
-        return max(1.0, rounded) if demand else 0.0
+        total += min(held, OVERHANG_PART * total + 1.0)
+        if fleet.level == inf:
+            return float(ceil(total - ROUND_UP_FROM))
+        # A part of a slot is a whole one for a part of the time.
+        return float(floor(total + fleet.dither + ROUNDING_BIAS))
 
     # -- what reports are made of
 
@@ -317,6 +327,3 @@
             for organisation, line in self._lines.items()
             if len(line) or line.n_in_flight
         }
-
-    def _waiting(self) -> list[OrganisationId]:
-        return [name for name, line in self._lines.items() if len(line)]
