--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -240,20 +240,13 @@
         self, req: CallerRequest, state: KeyState
     ) -> KeyState | None:
         """Wait until the holder of a key settles; None when the key is free again."""
-        current: KeyState | None = state
+        current: KeyState | None = await self._refresh(req, state)
         while current is not None:
             outcome = current.outcome
             if outcome is not None and outcome.state is OutcomeState.ANSWERED:
                 return current
             if outcome is not None or self._reconciler.is_holder_gone(current.claim):
-                found = await self._reconciler.ask(req)
-                if found is None:
-                    raise Refusal(
-                        ErrorKind.OUTCOME_UNKNOWN,
-                        "an earlier attempt may have run; an operator can resolve it",
-                    )
-                self._settle(req.claim_key, current.claim.attempt, found)
-                return await self._claimer.look_up(req.claim_key) or current
+                return await self._recover(req, current)
             if self._clock() > req.deadline - UNSETTLED_MARGIN_S:
                 raise Refusal(
                     ErrorKind.IN_PROGRESS, "an earlier attempt has not ended yet"
@@ -264,6 +257,24 @@
                 await asyncio.sleep(HOLDER_GONE_POLL_S)
         return None
 
+    async def _refresh(self, req: CallerRequest, state: KeyState) -> KeyState | None:
+        """Read the log again: an operator may have resolved the key since."""
+        try:
+            return await self._claimer.look_up(req.claim_key)
+        except PlatformUnavailable:
+            return state
+
+    async def _recover(self, req: CallerRequest, state: KeyState) -> KeyState:
+        """Settle the key of a holder that cannot, if the service can tell."""
+        found = await self._reconciler.ask(req)
+        if found is None:
+            raise Refusal(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "an earlier attempt may have run; an operator can resolve it",
+            )
+        self._settle(req.claim_key, state.claim.attempt, found)
+        return await self._refresh(req, state) or state
+
     def _answer_of(self, req: CallerRequest, state: KeyState) -> PlainAnswer:
         outcome = state.outcome
         if outcome is None or outcome.body is None:
--- a/src/chicorylead/router/serving.py
+++ b/src/chicorylead/router/serving.py
@@ -306,7 +306,7 @@
         try:
             await self._client.get(state.address, "/health", PROBE_TIMEOUT_S)
         except Break as exc:
-            return exc.kind is BreakKind.NOT_SENT
+            return exc.kind in (BreakKind.NOT_SENT, BreakKind.LOST)
         return False
 
 
--- a/src/chicorylead/upstream/exchange.py
+++ b/src/chicorylead/upstream/exchange.py
@@ -199,18 +199,7 @@
         Raises:
             Break: There is no whole answer with status 200.
         """
-        timeout = ClientTimeout(total=timeout_s)
-        try:
-            url = f"http://{address}{path}"
-            async with self._fresh.get(url, timeout=timeout) as resp:
-                body = await resp.read()
-                if resp.status != 200:
-                    raise Break(BreakKind.REFUSED, f"status {resp.status}", resp.status)
-                return body
-        except ClientConnectorError as exc:
-            raise Break(BreakKind.NOT_SENT, str(exc)) from exc
-        except (TimeoutError, ClientError, OSError) as exc:
-            raise Break(BreakKind.LOST, str(exc) or type(exc).__name__) from exc
+        return await self._small("GET", address, path, None, timeout_s)
 
     async def post(
         self, address: str, path: str, body: bytes, timeout_s: float
@@ -220,17 +209,26 @@
         Raises:
             Break: There is no whole answer with status 200.
         """
+        return await self._small("POST", address, path, body, timeout_s)
+
+    async def _small(
+        self, method: str, address: str, path: str, body: bytes | None, timeout_s: float
+    ) -> bytes:
+        url = f"http://{address}{path}"
         timeout = ClientTimeout(total=timeout_s)
         try:
-            url = f"http://{address}{path}"
-            async with self._fresh.post(url, data=body, timeout=timeout) as resp:
+            async with self._fresh.request(
+                method, url, data=body, timeout=timeout
+            ) as resp:
                 answer = await resp.read()
                 if resp.status != 200:
                     raise Break(BreakKind.REFUSED, f"status {resp.status}", resp.status)
                 return answer
         except ClientConnectorError as exc:
             raise Break(BreakKind.NOT_SENT, str(exc)) from exc
-        except (TimeoutError, ClientError, OSError) as exc:
+        except TimeoutError as exc:
+            raise Break(BreakKind.SILENT, f"no answer in {timeout_s} s") from exc
+        except (ClientError, OSError) as exc:
             raise Break(BreakKind.LOST, str(exc) or type(exc).__name__) from exc
 
     # -- common
--- a/src/chicorylead/upstream/pool.py
+++ b/src/chicorylead/upstream/pool.py
@@ -31,7 +31,7 @@
 
     def __init__(self, ratio: float) -> None:
         self._ratio = ratio
-        self._saved = min(BUDGET_BURST, 3.0)
+        self._saved = BUDGET_BURST
 
     def note_request(self) -> None:
         """Note a first attempt."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes behind the fault-injecting proxy."""
--- /dev/null
+++ b/tests/integration/test_answers.py
@@ -0,0 +1,122 @@
+"""Every caller gets the whole answer to its own request."""
+
+import asyncio
+import signal
+
+from chicorylead.standin.engine import token_at
+from tests.integration.support import check_path, run, runs, send, until
+
+
+def _text(prompt, n_tokens):
+    return " ".join(token_at(prompt, i) for i in range(n_tokens))
+
+
+async def _send_many(fleet, n, n_tokens):
+    return await asyncio.gather(
+        *(
+            send(
+                fleet,
+                f"router-{i % len(fleet.routers)}",
+                check_path(fleet),
+                {"prompt": f"p{i}", "n_tokens": n_tokens, "marker": f"m/{i}"},
+                deadline_ms=20000,
+            )
+            for i in range(n)
+        )
+    )
+
+
+def _assert_whole(answers, n_tokens):
+    for i, answer in enumerate(answers):
+        assert answer.status == 200, (i, answer)
+        assert answer.body["text"] == _text(f"p{i}", n_tokens)
+
+
+def test_crossed_and_truncated_answers_are_dropped_and_resumed():
+    async def body(fleet):
+        await fleet.set_faults("runner-0", crossed=0.3, truncate=0.3)
+        _assert_whole(await _send_many(fleet, 12, 20), 20)
+        totals = {}
+        for name in fleet.routers:
+            status = await fleet.operator(name, "GET", "/admin/v1/status")
+            for key, count in status["counts"].items():
+                totals[key] = totals.get(key, 0) + count
+        assert totals.get("upstream.break.crossed", 0) > 0
+        assert totals.get("upstream.break.truncated", 0) > 0
+
+    run(body)
+
+
+def test_upstream_killed_in_the_middle_is_resumed_without_a_lost_byte():
+    async def body(fleet):
+        sending = asyncio.create_task(_send_many(fleet, 6, 150))
+        await asyncio.sleep(0.6)
+        fleet.upstreams["runner-0"].process.signal(signal.SIGKILL)
+        _assert_whole(await sending, 150)
+
+    run(body)
+
+
+def test_connections_that_go_silent_are_replaced():
+    async def body(fleet):
+        sending = asyncio.create_task(_send_many(fleet, 6, 150))
+        await asyncio.sleep(0.5)
+        for name in fleet.routers:
+            await fleet.rule(f"{name}>runner-0", "silent")
+        _assert_whole(await sending, 150)
+
+    run(body)
+
+
+def test_a_caller_that_goes_away_frees_its_slot():
+    async def body(fleet):
+        task = asyncio.create_task(
+            send(
+                fleet,
+                "router-0",
+                check_path(fleet),
+                {"prompt": "p", "n_tokens": 3000, "marker": "m/gone"},
+                deadline_ms=60000,
+            )
+        )
+
+        async def is_running():
+            return await runs(fleet, "m/gone") == 1
+
+        await until(is_running, 5, "the request runs")
+        task.cancel()
+
+        async def is_free():
+            page = await fleet.operator("router-0", "GET", "/admin/v1/shares")
+            return all(not pool["organisations"] for pool in page["pools"])
+
+        await until(is_free, 5, "the slot is free")
+
+    run(body)
+
+
+def test_poison_request_takes_two_upstreams_at_most():
+    async def body(fleet):
+        for name in ("runner-0", "runner-1", "runner-2", "runner-3"):
+            await fleet.set_faults(name, crash_on="POISON")
+        bystanders = asyncio.create_task(_send_many(fleet, 6, 60))
+        await asyncio.sleep(0.2)
+        request = {"prompt": "POISON", "n_tokens": 5, "marker": "m/poison"}
+        for number in range(6):
+            answer = await send(
+                fleet, f"router-{number % 3}", check_path(fleet), request
+            )
+            assert answer.status != 200
+            await asyncio.sleep(0.5)
+        _assert_whole(await bystanders, 60)
+        running = [
+            u.name
+            for u in fleet.upstreams.values()
+            if u.kind == "engine" and u.process.is_running()
+        ]
+        assert len(running) >= 2
+        for name in fleet.routers:
+            refused = await send(fleet, name, check_path(fleet), request)
+            assert (refused.error, refused.run_state) == ("poison", "not_run")
+
+    run(body, n_engines=4)
--- /dev/null
+++ b/tests/integration/test_at_most_once.py
@@ -0,0 +1,150 @@
+"""A non-idempotent request runs at most once, whatever fails."""
+
+import asyncio
+import signal
+
+from tests.integration.support import publish_path, run, runs, send, until
+
+
+def test_same_key_on_every_router_at_once_runs_once():
+    async def body(fleet):
+        request = {"marker": "m/1", "edition": "e1", "work_s": 0.2}
+        answers = await asyncio.gather(
+            *(send(fleet, name, publish_path(fleet), request) for name in fleet.routers)
+        )
+        assert [a.status for a in answers] == [200, 200, 200]
+        assert len({a.body["receipt"] for a in answers}) == 1
+        assert await runs(fleet, "m/1") == 1
+
+    run(body)
+
+
+def test_another_request_under_the_same_key_is_a_conflict():
+    async def body(fleet):
+        path = publish_path(fleet)
+        first = await send(fleet, "router-0", path, {"marker": "m/1", "edition": "e"})
+        other = await send(fleet, "router-1", path, {"marker": "m/2", "edition": "e"})
+        assert first.status == 200
+        assert (other.status, other.error) == (409, "key_conflict")
+        assert other.run_state == "not_run"
+        assert await runs(fleet, "m/2") == 0
+
+    run(body)
+
+
+def test_log_down_refuses_not_run_and_leaves_idempotent_traffic_alone():
+    async def body(fleet):
+        await fleet.set_faults("platform", down=True)
+        request = {"marker": "m/1", "edition": "e1"}
+        refused, answered = await asyncio.gather(
+            send(fleet, "router-0", publish_path(fleet), request, deadline_ms=1500),
+            send(
+                fleet,
+                "router-0",
+                f"/v1/{fleet.profile.engine_service}/check",
+                {"marker": "m/2", "n_tokens": 3},
+            ),
+        )
+        assert answered.status == 200
+        assert (refused.error, refused.run_state) == ("log_unavailable", "not_run")
+        await fleet.set_faults("platform", down=False)
+        # The claim may land late; its void follows, and the key is free again.
+        again = await send(fleet, "router-1", publish_path(fleet), request)
+        assert again.status == 200
+        assert await runs(fleet, "m/1") == 1
+
+    run(body)
+
+
+def test_lost_append_answer_and_give_up_never_runs_twice():
+    async def body(fleet):
+        await fleet.set_faults("platform", lost_answer=1.0)
+        request = {"marker": "m/1", "edition": "e1"}
+        refused = await send(
+            fleet, "router-0", publish_path(fleet), request, deadline_ms=1200
+        )
+        assert refused.run_state == "not_run"
+        await fleet.set_faults("platform", lost_answer=0.5)
+        answers = await asyncio.gather(
+            *(send(fleet, name, publish_path(fleet), request) for name in fleet.routers)
+        )
+        await fleet.set_faults("platform", lost_answer=0.0)
+        assert await runs(fleet, "m/1") <= 1
+        assert any(answer.status == 200 for answer in answers)
+
+    run(body)
+
+
+def test_router_killed_while_running_is_reconciled_by_key():
+    async def body(fleet):
+        request = {"marker": "m/1", "edition": "e1", "work_s": 1.0}
+        lost = asyncio.create_task(
+            send(fleet, "router-0", publish_path(fleet), request)
+        )
+
+        async def is_running():
+            return await runs(fleet, "m/1") == 1
+
+        await until(is_running, 5, "the request runs")
+        fleet.signal_router("router-0", signal.SIGKILL)
+        assert (await lost).status == 0
+        again = await send(
+            fleet, "router-1", publish_path(fleet), request, deadline_ms=15000
+        )
+        assert again.status == 200
+        assert await runs(fleet, "m/1") == 1
+
+    run(body)
+
+
+def test_paused_holder_keeps_its_claim():
+    async def body(fleet):
+        request = {"marker": "m/1", "edition": "e1", "work_s": 1.0}
+        first = asyncio.create_task(
+            send(fleet, "router-0", publish_path(fleet), request, deadline_ms=15000)
+        )
+
+        async def is_running():
+            return await runs(fleet, "m/1") == 1
+
+        await until(is_running, 5, "the request runs")
+        fleet.signal_router("router-0", signal.SIGSTOP)
+        other = await send(
+            fleet, "router-1", publish_path(fleet), request, deadline_ms=4000
+        )
+        fleet.signal_router("router-0", signal.SIGCONT)
+        assert (await first).status == 200
+        assert other.status == 200 or other.run_state == "unknown"
+        assert await runs(fleet, "m/1") == 1
+
+    run(body)
+
+
+def test_silent_upstream_gives_unknown_and_an_operator_resolves_it():
+    async def body(fleet):
+        for name in ("plain-0", "plain-1"):
+            await fleet.set_faults(name, silent=True)
+        request = {"marker": "m/1", "edition": "e1"}
+        first = await send(
+            fleet, "router-0", publish_path(fleet), request, deadline_ms=3000
+        )
+        assert first.run_state == "unknown"
+        for name in ("plain-0", "plain-1"):
+            await fleet.set_faults(name, silent=False)
+        again = await send(
+            fleet, "router-1", publish_path(fleet), request, deadline_ms=3000
+        )
+        assert again.run_state == "unknown"
+        assert await runs(fleet, "m/1") <= 1
+        plan = fleet.profile.organisations[0]
+        word = {
+            "organisation": plan.name,
+            "service": fleet.profile.plain_service,
+            "key": "e1",
+            "ran": False,
+        }
+        await fleet.operator("router-2", "POST", "/admin/v1/resolve", word)
+        after = await send(fleet, "router-0", publish_path(fleet), request)
+        assert after.status == 200
+
+    run(body)
