Let routers that return find the others, with the log down too

Cause: a router that came back as the root of the tree waited for reports that nobody sent, since all took it for gone; one that started with the platform down knew no peer. Change: a router that hears nobody probes listed ones; a probe that misjudges its receiver is answered; a router without records asks whoever probes it.

--- a/bench/process.py
+++ b/bench/process.py
@@ -1,6 +1,7 @@
 """Processes of an experiment, ended by pid."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -67,7 +68,8 @@
     def signal(self, number: int) -> None:
         """Send it a signal."""
         if self.is_running():
-            os.kill(self.pid, number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     async def wait(self, timeout_s: float) -> int | None:
         """Return its exit code; None when it still runs."""
--- a/src/chicorylead/link/hub.py
+++ b/src/chicorylead/link/hub.py
@@ -171,6 +171,7 @@
         self.on_records: Callable[[RecordsAnswer], None] = lambda answer: None
         self.on_config_ahead: Callable[[RouterId, Offset], None] = lambda r, o: None
         self.answer_records: Callable[[Offset], RecordsAnswer] | None = None
+        self.needs_records: Callable[[], bool] = lambda: False
         self.config_offset: Callable[[], Offset] = lambda: Offset(0)
 
     # -- life cycle
@@ -446,8 +447,12 @@
             case Down() as down:
                 self._take_down(sender, down)
             case Probe(link=link, notices=notices):
+                is_misjudged = self._is_misjudged(notices)
                 self._take_notices_in(notices, sender)
-                self._answer_probe(sender, link, member)
+                self._answer_probe(sender, link, is_misjudged)
+                if self.needs_records():
+                    # With the platform down, a probe is how peers become known.
+                    self._send_once(link, RecordsQuery(self.address, Offset(0)))
             case RecordsQuery(link=link, after=after):
                 if self.answer_records is not None:
                     self._send_once(link, self.answer_records(after))
@@ -522,25 +527,50 @@
         return True
 
     async def _probe_lost(self) -> None:
-        """Look now and then whether a router that was lost is back."""
+        """Look now and then whether a router that was lost is back.
+
+        A router that hears nobody, as after its own restart, looks for anybody.
+        """
         assert self._view is not None
         while True:
             await asyncio.sleep(PROBE_PERIOD_S * self._rng.uniform(0.7, 1.3))
-            lost = [
-                member
-                for member in self._view.members()
-                if member.listed and member.state is MemberState.GONE and member.link
-            ]
+            others = [m for m in self._view.members() if m.id != self._own.id]
+            listed = [m for m in others if m.listed and m.link]
+            lost = [m for m in listed if m.state is MemberState.GONE]
+            silent_since = self._clock() - PROBE_PERIOD_S
+            if all(m.heard_at < silent_since for m in others):
+                lost = listed
             if lost:
                 member = self._rng.choice(sorted(lost, key=lambda m: m.id))
-                news = [RouterNotice(member.notice), RouterNotice(self._own.notice)]
-                self._send_once(member.link, Probe(self.address, news))
-
-    def _answer_probe(self, sender: RouterId, link: str, member: Member | None) -> None:
-        """Tell a router that came back what is said of it, so that it refutes."""
-        address = member.link if member is not None and member.link else link
-        notices: list[Notice] = [RouterNotice(self._own.notice)]
-        if member is not None:
-            notices.append(RouterNotice(member.notice))
-        if member is None or member.state is MemberState.GONE:
-            self._send_once(address, Probe(self.address, notices))
+                self._send_once(member.link, self._probe_of(member))
+
+    def _probe_of(self, member: Member) -> Probe:
+        """Return a probe that tells a router what is said of it."""
+        news: list[Notice] = [
+            RouterNotice(member.notice),
+            RouterNotice(self._own.notice),
+        ]
+        return Probe(self.address, news)
+
+    def _is_misjudged(self, notices: list[Notice]) -> bool:
+        """Tell whether a probe says something of this router that is not so."""
+        own = self._own.notice
+        return any(
+            isinstance(n, RouterNotice)
+            and n.member.router == own.router
+            and n.member != own
+            for n in notices
+        )
+
+    def _answer_probe(self, sender: RouterId, link: str, is_misjudged: bool) -> None:
+        """Answer if either side takes the other for gone, so that it refutes."""
+        assert self._view is not None
+        member = self._view.member(sender)
+        is_gone = member is not None and member.state is MemberState.GONE
+        if not (is_misjudged or is_gone):
+            return
+        if member is not None and member.link:
+            self._send_once(member.link, self._probe_of(member))
+        else:
+            news: list[Notice] = [RouterNotice(self._own.notice)]
+            self._send_once(link, Probe(self.address, news))
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -203,6 +203,7 @@
         self.hub.on_config_ahead = self._on_config_ahead
         self.hub.answer_records = self._answer_records
         self.hub.on_records = self._on_records
+        self.hub.needs_records = lambda: not self.is_ready
         self.hub.on_notice = self._on_notice
         self.dispatcher.on_poison = self.hub.spread
         self.dispatcher.on_demand = self.hub.report_soon
