--- a/src/chicorylead/outcome/reconcile.py
+++ b/src/chicorylead/outcome/reconcile.py
@@ -73,11 +73,8 @@
     async def _ask_all(self, req: CallerRequest) -> list[_Told]:
         upstreams = self._store.upstreams(req.service.name)
         asked = [
-            self._ask_one(
-                self._view.upstream_address(u.name) or f"{u.host}:{u.port}",
-                req.claim_key,
-            )
-            for u in upstreams
+            self._ask_one(self._view.upstream_address(upstream), req.claim_key)
+            for upstream in upstreams
         ]
         answers = await asyncio.gather(*asked)
         return [told for told in answers if told is not None]
--- a/src/chicorylead/records/model.py
+++ b/src/chicorylead/records/model.py
@@ -115,7 +115,9 @@
 
     Attributes:
         can_reconcile: Whether upstreams tell the outcome of a key when asked.
-        model: Model that engines of the pool have to serve; None for any.
+        model: Model that engines of the pool have to serve; None gives no orders.
+        adapters: Adapters that they have to hold.
+        role: Role that they have to play.
     """
 
     name: ServiceName
@@ -123,6 +125,8 @@
     operations: dict[str, Operation]
     can_reconcile: bool = False
     model: str | None = None
+    adapters: tuple[str, ...] = ()
+    role: str = "mixed"
 
 
 class Upstream(Struct, frozen=True):
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -20,6 +20,7 @@
     UpstreamId,
     ZoneName,
 )
+from chicorylead.lease.orders import OrderIssuer
 from chicorylead.link.hub import LinkHub
 from chicorylead.link.message import (
     Notice,
@@ -130,6 +131,16 @@
         self._watch = UpstreamWatch(
             self.store, self.view, self._client, self._upstream_state, self.log, rng
         )
+        self._issuer = OrderIssuer(
+            self._platform,
+            self.store,
+            self.view,
+            self._client,
+            self.view.upstream_address,
+            self.log,
+            self._metrics,
+            rng,
+        )
         self._complete_from_peer = False
         self._server = HttpServer(
             self._starlette(),
@@ -211,6 +222,7 @@
         self.app.add(stop=self._platform.close)
         self.app.add(stop=self._client.close)
         self.app.add(stop=self._claimer.close)
+        self.app.add(stop=self._issuer.close)
         self.app.add(start=self._start_links, stop=self.hub.stop)
         self.app.add(start=self._start_tasks)
         self.app.add(start=self._server.start, stop=self._stop_server)
@@ -226,6 +238,7 @@
         self.app.spawn(self._catch_up_from_peers(), "peer_catch_up")
         self.app.spawn(self._keep_checkpoints(), "checkpoints")
         self.app.spawn(self._watch.run(), "upstream_watch")
+        self.app.spawn(self._issuer.run(), "orders")
         self.app.spawn(self._send_gauges(), "gauges")
         self.log.info(
             "router_started",
--- a/src/chicorylead/standin/engine.py
+++ b/src/chicorylead/standin/engine.py
@@ -118,6 +118,7 @@
         self._n_cache_events = 0
         self._reports: deque[_LoadReport] = deque(maxlen=400)
         self._order = Order(0, list(cfg.models))
+        self.orders: list[tuple[float, Order]] = []
         self._reporter: asyncio.Task[None] | None = None
         routes = [
             Route("/run/{operation}", self._run, methods=["POST"]),
@@ -131,6 +132,7 @@
             Route("/kv/{prefix}", self._import_kv, methods=["PUT"]),
             Route("/standin/faults", self.board.handle, methods=["POST"]),
             Route("/standin/ran", self.ran.handle),
+            Route("/standin/orders", self._list_orders),
         ]
         self._server = HttpServer(Starlette(routes=routes), cfg.host, cfg.port)
 
@@ -274,6 +276,7 @@
             body = {"fencing": self._order.fencing}
             return Response(msgspec.json.encode(body), status_code=409)
         self._order = order
+        self.orders.append((asyncio.get_running_loop().time(), order))
         await self.board.after_action()
         return Response(msgspec.json.encode(self._order))
 
@@ -281,6 +284,9 @@
         await self.board.before_action()
         return Response(msgspec.json.encode(self._order))
 
+    async def _list_orders(self, request: Request) -> Response:
+        return Response(msgspec.json.encode(self.orders))
+
     async def _export_kv(self, request: Request) -> Response:
         wanted = request.path_params["prefix"]
         found = wanted in self._cache
--- a/src/chicorylead/upstream/pool.py
+++ b/src/chicorylead/upstream/pool.py
@@ -7,7 +7,6 @@
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.records.model import Upstream
 from chicorylead.records.store import RecordStore
 from chicorylead.upstream.state import Health, UpstreamState
 from chicorylead.vm.rendezvous import hash64
@@ -82,7 +81,7 @@
             if name not in wanted:
                 del self._states[name]
         for name, record in wanted.items():
-            address = self._address(record)
+            address = self._view.upstream_address(record)
             state = self._states.get(name)
             if state is None:
                 self._states[name] = UpstreamState(record, address)
@@ -93,10 +92,6 @@
                 )
             state.record = record
 
-    def _address(self, record: Upstream) -> str:
-        listed = self._view.upstream_address(record.name)
-        return listed or f"{record.host}:{record.port}"
-
     def states(self) -> list[UpstreamState]:
         """Return all upstreams, ordered by name."""
         return [self._states[name] for name in sorted(self._states)]
--- a/src/chicorylead/vm/view.py
+++ b/src/chicorylead/vm/view.py
@@ -13,6 +13,7 @@
 
 from chicorylead.ids import Incarnation, RouterId, UpstreamId, ZoneName
 from chicorylead.platform.api import VmEntry, VmList, VmRole, VmState
+from chicorylead.records.model import Upstream
 
 __all__ = ["FleetView", "Member", "MemberNotice", "MemberState"]
 
@@ -215,7 +216,8 @@
         """Tell whether an upstream may get no new work."""
         return upstream in self._leaving_upstreams
 
-    def upstream_address(self, upstream: UpstreamId) -> str | None:
-        """Return the address that the list gives for an upstream, if any."""
-        vm = self._listed_upstreams.get(upstream)
-        return vm.address if vm is not None and vm.address else None
+    def upstream_address(self, record: Upstream) -> str:
+        """Return where an upstream is; the platform's list overrides its record."""
+        vm = self._listed_upstreams.get(record.name)
+        listed = vm.address if vm is not None else ""
+        return listed or f"{record.host}:{record.port}"
--- a/tests/test_claim_machine.py
+++ b/tests/test_claim_machine.py
@@ -60,7 +60,9 @@
 
     @rule(router=st.integers(0, 2), n=st.integers(1, 5))
     def read(self, router, n):
-        index = self.indexes[router]
+        self._read(self.indexes[router], n)
+
+    def _read(self, index, n):
         for _ in range(n):
             at = index.next_offset
             if at <= len(self.entries):
@@ -69,6 +71,7 @@
     @rule(attempt=attempts)
     def run_if_won(self, attempt):
         router, key, name = attempt
+        self._read(self.indexes[router], len(self.entries))
         state = self.indexes[router].get(key)
         won = state is not None and state.claim.attempt == name
         may_run = won and state.outcome is None and name not in self.given_up
@@ -86,6 +89,19 @@
     def each_key_ran_at_most_once(self):
         assert all(len(runs) <= 1 for runs in self.ran.values())
 
+    @invariant()
+    def a_key_is_free_once_its_void_and_claim_are_in_the_log(self):
+        whole = ClaimIndex()
+        self._read(whole, len(self.entries))
+        for name in self.given_up & self._landed_voids():
+            for key in KEYS:
+                state = whole.get(key)
+                assert state is None or state.claim.attempt != name
+
+    def _landed_voids(self):
+        events = [event for data in self.entries for event in decode_events(data)]
+        return {event.attempt for event in events if isinstance(event, Void)}
+
     @invariant()
     def routers_that_read_as_far_agree(self):
         by_offset: dict[int, list[str | None]] = {}
@@ -99,4 +115,4 @@
 
 
 TestClaims = ClaimMachine.TestCase
-TestClaims.settings = settings(max_examples=150, stateful_step_count=40)
+TestClaims.settings = settings(max_examples=250, stateful_step_count=50)
--- /dev/null
+++ b/tests/test_record_machine.py
@@ -0,0 +1,163 @@
+"""A state machine over records: log, checkpoints and peers in any order."""
+
+import asyncio
+from random import Random
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from chicorylead.ids import Offset
+from chicorylead.logs import EventLog
+from chicorylead.platform.api import LogEntry, LogPage, PlatformUnavailable
+from chicorylead.records.log import Checkpoint, ConfigReader
+from chicorylead.records.schema import Record
+from chicorylead.records.store import RecordStore
+
+NAMES = ("a", "b")
+N_ROUTERS = 3
+
+
+class _FakeLog:
+    """Keeps entries from `first` on."""
+
+    def __init__(self):
+        self.entries = []
+        self.first = 1
+        self.is_down = False
+
+    async def read(self, stream, start, limit=500, wait_s=0.0):
+        if self.is_down:
+            raise PlatformUnavailable("down")
+        end = len(self.entries) + 1
+        begin = max(start, self.first)
+        found = [
+            LogEntry(Offset(at), self.entries[at - 1])
+            for at in range(begin, min(end, begin + limit))
+        ]
+        return LogPage(Offset(self.first), Offset(end), found)
+
+
+class RecordMachine(RuleBasedStateMachine):
+    """Every router ends with what one reader of the whole log would hold."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = _FakeLog()
+        self.truth = {}
+        self.n_publishes = 0
+        self.loop = asyncio.new_event_loop()
+        self.stores = []
+        self.readers = []
+        self.seen = []
+        for _ in range(N_ROUTERS):
+            self.stores.append(RecordStore())
+            self.readers.append(None)
+            self.seen.append({})
+        for number in range(N_ROUTERS):
+            self._restart(number)
+
+    def teardown(self):
+        self.loop.close()
+
+    def _restart(self, number):
+        store = RecordStore()
+
+        async def build():
+            return ConfigReader(self.log, store, EventLog(), Random(1))
+
+        self.stores[number] = store
+        self.readers[number] = self.loop.run_until_complete(build())
+        self.seen[number] = {}
+
+    def _append(self, entry):
+        self.log.entries.append(msgspec.json.encode(entry).decode())
+        return len(self.log.entries)
+
+    @rule(name=st.sampled_from(NAMES), stale=st.booleans(), twice=st.booleans())
+    def publish(self, name, stale, twice):
+        self.n_publishes += 1
+        current = self.truth.get(name, (0, None))[0]
+        record = Record(
+            kind="organisation",
+            schema=2,
+            name=name,
+            spec={"token_sha256": [str(self.n_publishes)]},
+            publish_id=str(self.n_publishes),
+            if_version=current - 1 if stale and current else current,
+        )
+        entry = {"type": "record", "record": msgspec.to_builtins(record)}
+        for _ in range(2 if twice else 1):
+            offset = self._append(entry)
+            if record.if_version == self.truth.get(name, (0, None))[0]:
+                self.truth[name] = (offset, record)
+
+    @rule(number=st.integers(0, N_ROUTERS - 1), in_two=st.booleans())
+    def checkpoint(self, number, in_two):
+        store = self.stores[number]
+        if not self.readers[number].caught_up.is_set():
+            return
+        records = store.versions()
+        parts = [records[:1], records[1:]] if in_two else [records]
+        for chunk, part in enumerate(parts):
+            whole = Checkpoint(store.covered, chunk, len(parts), part)
+            self._append(whole)
+
+    @rule()
+    def pass_retention(self):
+        # The system re-appends checkpoints well before retention passes, so what is
+        # dropped is always covered by a whole checkpoint that stays.
+        last = None
+        chunks = {}
+        for at, data in enumerate(self.log.entries, 1):
+            body = msgspec.json.decode(data)
+            if body["type"] == "checkpoint":
+                seen = chunks.setdefault(body["covers"], {})
+                seen[body["chunk"]] = at
+                if len(seen) == body["n_chunks"]:
+                    last = (min(seen.values()), body["covers"])
+        if last is not None:
+            self.log.first = max(self.log.first, min(last[0], last[1] + 1))
+
+    @rule(number=st.integers(0, N_ROUTERS - 1))
+    def read(self, number):
+        if not self.log.is_down:
+            self.loop.run_until_complete(self.readers[number].read_once())
+
+    @rule(down=st.booleans())
+    def log_goes(self, down):
+        self.log.is_down = down
+
+    @rule(giver=st.integers(0, N_ROUTERS - 1), taker=st.integers(0, N_ROUTERS - 1))
+    def hand_over(self, giver, taker):
+        if self.readers[giver].caught_up.is_set():
+            self.stores[taker].merge(self.stores[giver].versions())
+            covered = max(self.stores[taker].covered, self.stores[giver].covered)
+            self.stores[taker].covered = covered
+
+    @rule(number=st.integers(0, N_ROUTERS - 1))
+    def restart(self, number):
+        self._restart(number)
+
+    @invariant()
+    def no_offset_goes_back(self):
+        for number, store in enumerate(self.stores):
+            for name in NAMES:
+                offset = store.version_of(("organisation", name))
+                assert offset >= self.seen[number].get(name, 0)
+                self.seen[number][name] = offset
+
+    @invariant()
+    def nothing_is_in_force_that_was_not_accepted(self):
+        for number, store in enumerate(self.stores):
+            reader = self.readers[number]
+            is_whole = reader.caught_up.is_set()
+            if is_whole and reader.next_offset > len(self.log.entries):
+                for name in NAMES:
+                    wanted = self.truth.get(name, (0, None))[0]
+                    assert store.version_of(("organisation", name)) == wanted
+
+
+TestRecords = RecordMachine.TestCase
+TestRecords.settings = settings(max_examples=150, stateful_step_count=40)
