Give short requests a part of the window; charge long ones as they flow

Cause: streams of several seconds kept short requests waiting when an organisation held more than its part; a long request was charged whole at its start, so that its organisation got a slot's worth of service, less than its share, until it ended.

--- a/src/chicorylead/sharing/cost.py
+++ b/src/chicorylead/sharing/cost.py
@@ -15,6 +15,7 @@
 MIN_SAMPLES = 5
 MAX_KINDS = 20_000
 LONG_RATIO = 4.0
+CHARGE_RATIO = 3.0
 ANY_ORGANISATION = ""
 
 
@@ -45,10 +46,14 @@
 
     Attributes:
         cost: Expected cost, in cost units.
+        charge: The part of it that is charged when a slot is given. The rest is
+            charged as it is delivered: a long request takes its organisation's
+            slot for long, but not the slots that the organisation has beside it.
         is_long: Whether it is expected to hold a slot much longer than most.
     """
 
     cost: float
+    charge: float
     is_long: bool
 
 
@@ -85,7 +90,9 @@
         return self._classify(self._typical())
 
     def _classify(self, cost: float) -> LengthClass:
-        return LengthClass(cost, cost > LONG_RATIO * self._typical())
+        typical = self._typical()
+        charge = min(cost, CHARGE_RATIO * typical)
+        return LengthClass(cost, charge, cost > LONG_RATIO * typical)
 
     def learn(
         self,
--- a/src/chicorylead/sharing/pool.py
+++ b/src/chicorylead/sharing/pool.py
@@ -21,7 +21,6 @@
 
 LONG_HANDICAP_S = 3.0
 LONG_PART = 0.6
-SHORT_EXTRA_PART = 0.25
 ROUND_UP_FROM = 0.25
 ROUNDING_BIAS = 0.1
 OVERHANG_PART = 0.25
@@ -238,8 +237,8 @@
         self.n_in_flight += 1
         self.n_long += 1 if ticket.length.is_long else 0
         ticket.holds_slot = True
-        ticket.outstanding = ticket.length.cost
-        self.ledger.account(ticket.organisation).outstanding += ticket.length.cost
+        ticket.outstanding = ticket.length.charge
+        self.ledger.account(ticket.organisation).outstanding += ticket.length.charge
         if not ticket.granted.done():
             ticket.granted.set_result(None)
 
@@ -249,10 +248,10 @@
             if long_is_full:
                 return self._pick(short_only=True) or self._pick(short_only=False)
             return self._pick(short_only=False)
-        # Long requests hold more than their part: a short one may go beyond the
-        # window, where the engine slows a little but nothing waits.
-        crowded = self.n_long > LONG_PART * limit
-        if crowded and self.n_in_flight < limit * (1.0 + SHORT_EXTRA_PART):
+        # Long requests may not keep short ones out: these have a part of the window
+        # of their own, beyond it if need be. The engine slows a little then.
+        n_short = self.n_in_flight - self.n_long
+        if limit > 0 and n_short < max(1.0, (1.0 - LONG_PART) * limit):
             return self._pick(short_only=True)
         return None
 
