Tell long requests by what they deliver, not only by their kind

Cause: until five long requests of a kind had ended, which takes tens of seconds, long ones passed for short and filled the part of the window kept for short ones. Change: a request that delivers more than four times the typical cost counts as long from then on, and teaches its kind at once; three samples suffice; short requests may fill 0.8 of the limit beside long ones.

--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -129,8 +129,10 @@
         attempts = self._attempts(req, pool, length)
         try:
             async for data, n_events in attempts.stream():
-                pool.queue.deliver(ticket, float(n_events))
                 cost += n_events
+                if pool.queue.deliver(ticket, float(n_events)):
+                    # Others of its kind need not be met with the same surprise.
+                    pool.costs.learn(req.organisation, req.operation, req.hint, cost)
                 yield data
             pool.costs.learn(req.organisation, req.operation, req.hint, cost)
             self._poison.clear(req.fingerprint)
--- a/src/chicorylead/sharing/cost.py
+++ b/src/chicorylead/sharing/cost.py
@@ -12,7 +12,7 @@
 __all__ = ["CostModel", "LengthClass"]
 
 SMOOTHING = 0.1
-MIN_SAMPLES = 5
+MIN_SAMPLES = 3
 MAX_KINDS = 20_000
 LONG_RATIO = 4.0
 CHARGE_RATIO = 3.0
@@ -50,11 +50,14 @@
             charged as it is delivered: a long request takes its organisation's
             slot for long, but not the slots that the organisation has beside it.
         is_long: Whether it is expected to hold a slot much longer than most.
+        long_after: Cost beyond which it turned out to be long, whatever was
+            expected.
     """
 
     cost: float
     charge: float
     is_long: bool
+    long_after: float
 
 
 @dataclass(slots=True)
@@ -92,7 +95,8 @@
     def _classify(self, cost: float) -> LengthClass:
         typical = self._typical()
         charge = min(cost, CHARGE_RATIO * typical)
-        return LengthClass(cost, charge, cost > LONG_RATIO * typical)
+        long_after = LONG_RATIO * typical
+        return LengthClass(cost, charge, cost > long_after, long_after)
 
     def learn(
         self,
--- a/src/chicorylead/sharing/pool.py
+++ b/src/chicorylead/sharing/pool.py
@@ -21,6 +21,8 @@
 
 LONG_HANDICAP_S = 3.0
 LONG_PART = 0.6
+SHORT_PART = 0.8
+MIN_SHORT = 3
 ROUND_UP_FROM = 0.25
 ROUNDING_BIAS = 0.1
 OVERHANG_PART = 0.25
@@ -75,13 +77,15 @@
     queued_at: float
     granted: asyncio.Future[None]
     holds_slot: bool = False
+    is_long: bool = False
+    delivered: float = 0.0
     outstanding: float = 0.0
     why_waiting: str = ""
 
     @property
     def order(self) -> float:
         """Return the time by which requests of one organisation are ordered."""
-        handicap_s = LONG_HANDICAP_S if self.length.is_long else 0.0
+        handicap_s = LONG_HANDICAP_S if self.is_long else 0.0
         return self.queued_at + handicap_s
 
 
@@ -97,10 +101,10 @@
         return len(self.short) + len(self.long)
 
     def add(self, ticket: Ticket) -> None:
-        (self.long if ticket.length.is_long else self.short).append(ticket)
+        (self.long if ticket.is_long else self.short).append(ticket)
 
     def remove(self, ticket: Ticket) -> None:
-        line = self.long if ticket.length.is_long else self.short
+        line = self.long if ticket.is_long else self.short
         try:
             line.remove(ticket)
         except ValueError:
@@ -172,7 +176,9 @@
         if not line and not line.n_in_flight:
             self.ledger.wake(organisation, list(self.waiting_by_organisation()))
         fut = asyncio.get_running_loop().create_future()
-        ticket = Ticket(organisation, share, length, self._clock(), fut)
+        ticket = Ticket(
+            organisation, share, length, self._clock(), fut, is_long=length.is_long
+        )
         line.add(ticket)
         self.pump()
         try:
@@ -190,13 +196,23 @@
             raise
         return ticket
 
-    def deliver(self, ticket: Ticket, cost: float) -> None:
-        """Note cost that was delivered for a request in flight."""
+    def deliver(self, ticket: Ticket, cost: float) -> bool:
+        """Note cost that was delivered for a request in flight.
+
+        Returns:
+            Whether it just turned out to be longer than expected.
+        """
         account = self.ledger.account(ticket.organisation)
         account.served += cost
         covered = min(ticket.outstanding, cost)
         ticket.outstanding -= covered
         account.outstanding -= covered
+        ticket.delivered += cost
+        if ticket.is_long or ticket.delivered <= ticket.length.long_after:
+            return False
+        ticket.is_long = True
+        self.n_long += 1 if ticket.holds_slot else 0
+        return True
 
     def release(self, ticket: Ticket) -> None:
         """Give a slot back."""
@@ -207,7 +223,7 @@
         account.outstanding = max(0.0, account.outstanding - ticket.outstanding)
         ticket.outstanding = 0.0
         self.n_in_flight -= 1
-        self.n_long -= 1 if ticket.length.is_long else 0
+        self.n_long -= 1 if ticket.is_long else 0
         self._lines[ticket.organisation].n_in_flight -= 1
         self.pump()
 
@@ -235,7 +251,7 @@
         line.remove(ticket)
         line.n_in_flight += 1
         self.n_in_flight += 1
-        self.n_long += 1 if ticket.length.is_long else 0
+        self.n_long += 1 if ticket.is_long else 0
         ticket.holds_slot = True
         ticket.outstanding = ticket.length.charge
         self.ledger.account(ticket.organisation).outstanding += ticket.length.charge
@@ -251,7 +267,7 @@
         # Long requests may not keep short ones out: these have a part of the window
         # of their own, beyond it if need be. The engine slows a little then.
         n_short = self.n_in_flight - self.n_long
-        if limit > 0 and n_short < max(1.0, (1.0 - LONG_PART) * limit):
+        if n_short < max(MIN_SHORT, SHORT_PART * limit):
             return self._pick(short_only=True)
         return None
 
