--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 	rm -rf build dist && mkdir -p dist
 	$(BIN)/shiv --quiet --console-script chicorylead --python "/usr/bin/env python3.11" \
 	  --compressed --output-file dist/chicorylead --no-build-isolation .
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m bench.capacity
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,7 +19,7 @@
 
 __all__ = ["main"]
 
-BASELINES = ("local", "mesh")
+BASELINES = ("local", "alone", "grants")
 
 
 def _parse() -> argparse.Namespace:
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -11,7 +11,7 @@
 from bench.profile import Profile
 from bench.scenario import SCENARIOS, drive
 
-__all__ = ["calibrate", "run_experiment"]
+__all__ = ["calibrate", "measure_control", "run_experiment"]
 
 
 class _Counters(NamedTuple):
@@ -83,7 +83,7 @@
     scenario = SCENARIOS[name]
     async with Fleet(profile, seed, sharing) as fleet:
         capacity = await calibrate(fleet)
-        idle = await _measure_control(fleet, IDLE_S)
+        idle = await measure_control(fleet, IDLE_S)
         callers = Callers(fleet, seed)
         backlog = Backlog(profile)
         clock = asyncio.get_running_loop().time
@@ -169,7 +169,8 @@
     return found
 
 
-async def _measure_control(fleet: Fleet, seconds: float) -> _Counters:
+async def measure_control(fleet: Fleet, seconds: float) -> _Counters:
+    """Return the highest rates of a router over some seconds."""
     before = await _counters(fleet)
     clock = asyncio.get_running_loop().time
     started = clock()
--- /dev/null
+++ b/bench/slope.py
@@ -0,0 +1,43 @@
+"""Straight-line fits of measurements."""
+
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+__all__ = ["Fit", "fit_line"]
+
+
+class Fit(Struct):
+    """A line through points, and how far points are from it.
+
+    Attributes:
+        residual: Largest distance of a point from the line, as a part of the
+            largest value.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, x: float) -> float:
+        """Return the value of the line."""
+        return self.intercept + self.slope * x
+
+
+def fit_line(points: Sequence[tuple[float, float]]) -> Fit:
+    """Fit a line by least squares.
+
+    Raises:
+        ValueError: There are fewer than two points.
+    """
+    if len(points) < 2:
+        raise ValueError(f"a line needs two points, not {len(points)}")
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    largest = max(abs(y) for _, y in points) or 1.0
+    worst = max(abs(y - intercept - slope * x) for x, y in points)
+    return Fit(slope, intercept, worst / largest)
--- a/src/chicorylead/records/store.py
+++ b/src/chicorylead/records/store.py
@@ -51,6 +51,7 @@
         self._by_token: dict[str, OrganisationId] = {}
         self._contracts: dict[OrganisationId, list[Contract]] = {}
         self._upstreams: dict[ServiceName, list[Upstream]] = {}
+        self._is_indexed = True
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -88,7 +89,7 @@
                 n_new += 1
         if n_new:
             self.n_changes += 1
-            self._rebuild()
+            self._is_indexed = False
             for listener in self._listeners:
                 listener()
         return n_new
@@ -121,7 +122,11 @@
             # stays in use, and the record itself is kept and passed on.
             return
 
-    def _rebuild(self) -> None:
+    def _index(self) -> None:
+        """Build the look-ups anew, at the first use after changes."""
+        if self._is_indexed:
+            return
+        self._is_indexed = True
         self._by_token = {
             digest: org.name
             for org in self._models[RecordKind.ORGANISATION].values()
@@ -161,6 +166,7 @@
 
     def organisation_of_token(self, digest: str) -> OrganisationId | None:
         """Return the organisation that a credential digest belongs to."""
+        self._index()
         return self._by_token.get(digest)
 
     def organisation(self, name: OrganisationId) -> Organisation | None:
@@ -169,6 +175,7 @@
 
     def contracts(self, organisation: OrganisationId) -> list[Contract]:
         """Return the contracts of an organisation."""
+        self._index()
         return self._contracts.get(organisation, [])
 
     def share(self, organisation: OrganisationId) -> float:
@@ -186,6 +193,7 @@
 
     def upstreams(self, service: ServiceName) -> list[Upstream]:
         """Return the upstreams of a service, ordered by name."""
+        self._index()
         return self._upstreams.get(service, [])
 
     @property
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -142,6 +142,7 @@
             rng,
         )
         self._complete_from_peer = False
+        self._is_take_over_due = False
         self._server = HttpServer(
             self._starlette(),
             cfg.host,
@@ -209,7 +210,7 @@
 
     def _wire(self) -> None:
         """Connect the parts with each other and with the life cycle."""
-        self.store.on_change(self._take_over_records)
+        self.store.on_change(self._take_over_soon)
         self.hub.config_offset = lambda: self.store.covered
         self.hub.on_config_ahead = self._on_config_ahead
         self.hub.answer_records = self._answer_records
@@ -292,8 +293,15 @@
 
     # -- records
 
+    def _take_over_soon(self) -> None:
+        """Take records over once for all that were read together."""
+        if not self._is_take_over_due:
+            self._is_take_over_due = True
+            asyncio.get_running_loop().call_soon(self._take_over_records)
+
     def _take_over_records(self) -> None:
         """Bring pools and shares in line with the records in force."""
+        self._is_take_over_due = False
         self._shares = {
             organisation_number(OrganisationId(item.record.name)): self.store.share(
                 OrganisationId(item.record.name)
--- a/src/chicorylead/settings.py
+++ b/src/chicorylead/settings.py
@@ -144,8 +144,8 @@
         timeouts: Limits on waiting.
         metrics: Where metrics go.
         log_level: One of debug, info, warning, error.
-        sharing: `fleet` shares slots between routers; `local` makes each router
-            serve for itself, first come first served, as a baseline.
+        sharing: `fleet` shares slots between routers; `grants`, `alone` and
+            `local` are baselines to compare it with.
         seed: Seed of the random generator.
     """
 
@@ -160,7 +160,7 @@
     timeouts: TimeoutSettings = TimeoutSettings()
     metrics: MetricSettings = MetricSettings()
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
-    sharing: Annotated[str, Meta(pattern="^(fleet|local|mesh)$")] = "fleet"
+    sharing: Annotated[str, Meta(pattern="^(fleet|grants|alone|local)$")] = "fleet"
     seed: int = 0
 
 
--- a/src/chicorylead/sharing/pool.py
+++ b/src/chicorylead/sharing/pool.py
@@ -29,11 +29,18 @@
 
 
 class SharingMode(Enum):
-    """How routers share the slots of a pool."""
+    """How routers share the slots of a pool.
+
+    FLEET is the one in use: the price applied to what waits here now. The others
+    are kept as baselines. GRANTS: the root's split of the last reports, in bulk, and
+    one slot of standing share. ALONE: an equal part of the slots and fair queueing on
+    what this router served. LOCAL: the same part, first come first served.
+    """
 
     FLEET = "fleet"
+    GRANTS = "grants"
+    ALONE = "alone"
     LOCAL = "local"
-    MESH = "mesh"
 
 
 @dataclass(slots=True)
@@ -279,23 +286,29 @@
         if self.mode is SharingMode.LOCAL:
             return min(waiting, key=lambda ticket: ticket.queued_at)
         now = self._clock()
-        times = {
-            ticket: self.ledger.virtual_time(ticket.organisation, ticket.share, now)
-            for ticket in waiting
-        }
+        times = {ticket: self._virtual_time(ticket, now) for ticket in waiting}
         best = min(waiting, key=times.__getitem__)
         for ticket in waiting:
             if ticket is not best:
                 ticket.why_waiting = f"{best.organisation} had less for its share"
         return best
 
+    def _virtual_time(self, ticket: Ticket, now: float) -> float:
+        if self.mode is SharingMode.ALONE:
+            account = self.ledger.account(ticket.organisation)
+            return (account.served + account.outstanding) / ticket.share
+        return self.ledger.virtual_time(ticket.organisation, ticket.share, now)
+
     # -- the split
 
     def limit(self) -> float:
         """Return how many requests this router may have in flight."""
         fleet = self.fleet
-        if self.mode is SharingMode.LOCAL:
-            return max(1.0, fleet.n_slots / max(1, fleet.n_routers))
+        match self.mode:
+            case SharingMode.LOCAL | SharingMode.ALONE:
+                return max(1.0, fleet.n_slots / max(1, fleet.n_routers))
+            case SharingMode.GRANTS:
+                return self._granted()
         demand = reported = total = held = 0.0
         for organisation, line in self._lines.items():
             own = float(len(line) + line.n_in_flight)
@@ -320,6 +333,16 @@
         # A part of a slot is a whole one for a part of the time.
         return float(floor(total + fleet.dither + ROUNDING_BIAS))
 
+    def _granted(self) -> float:
+        """Return the slots that the last reports gave, and one to start with."""
+        fleet = self.fleet
+        total = 0.0
+        for organisation, own in fleet.own_demands.items():
+            whole = fleet.demands.get(organisation, own)
+            share = self._shares[organisation] * fleet.factors.get(organisation, 1.0)
+            total += allowance(own, whole, share, fleet.level)
+        return max(1.0, float(floor(total + fleet.dither)))
+
     # -- what reports are made of
 
     def demands(self) -> dict[OrganisationId, float]:
