--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,12 @@
 	$(BIN)/chicorylead demo
 
 lint: $(VENV)/.installed
-	$(BIN)/ruff check src tests bench
-	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench examples
+	$(BIN)/ruff format --check src tests bench examples
 
 format: $(VENV)/.installed
-	$(BIN)/ruff check --fix src tests bench
-	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench examples
+	$(BIN)/ruff format src tests bench examples
 
 test: lint
 	$(BIN)/python -m pytest tests
--- /dev/null
+++ b/examples/membership.py
@@ -0,0 +1,19 @@
+"""A view of the fleet that joins the platform's list with notices."""
+
+from chicorylead.ids import Incarnation, RouterId, ZoneName
+from chicorylead.platform.api import VmEntry, VmList, VmRole, VmState
+from chicorylead.vm.address import answer_address
+from chicorylead.vm.view import FleetView, Member, MemberNotice, MemberState
+
+own = Member(RouterId("router-1"), ZoneName("a"), "10.0.0.1:80", "", Incarnation(1))
+view = FleetView(own, on_news=lambda notice: print("pass on:", notice.state.name))
+vms = [
+    VmEntry("router-2", VmRole.ROUTER, VmState.LIVE, ZoneName("b"), "10.0.0.2:80"),
+    VmEntry("router-3", VmRole.ROUTER, VmState.LIVE, ZoneName("a"), "10.0.0.3:80"),
+]
+view.take_list(VmList(1, vms))
+view.take_notice(
+    MemberNotice(RouterId("router-3"), Incarnation(7), 0, MemberState.LEAVING)
+)
+answer = answer_address(view, None, None, lifetime_s=10.0)
+print([entry.address for entry in answer.addresses])
--- a/src/chicorylead/records/schema.py
+++ b/src/chicorylead/records/schema.py
@@ -90,7 +90,13 @@
     try:
         spec = upgrade(record.spec) if record.schema == 1 else record.spec
         return msgspec.convert({**spec, "name": record.name}, model_type)
-    except (msgspec.ValidationError, KeyError, TypeError, ValueError) as exc:
+    except (
+        msgspec.ValidationError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as exc:
         reason = f"field {exc} is missing" if isinstance(exc, KeyError) else exc
         raise Refusal(
             ErrorKind.BAD_REQUEST, f"{record.kind} {record.name!r}: {reason}"
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,61 @@
+"""The command line as a person meets it."""
+
+import subprocess
+import sys
+
+import pytest
+
+from chicorylead import __version__
+
+
+def _run(*args):
+    command = [sys.executable, "-m", "chicorylead", *args]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+
+def test_version():
+    done = _run("version")
+    assert (done.returncode, done.stdout) == (0, f"chicorylead {__version__}\n")
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        ("settings", "check", "/nowhere.yaml"),
+        ("config", "validate", "/nowhere.yaml"),
+        ("router", "--settings", "/nowhere.yaml"),
+        ("status", "--router", "127.0.0.1:1", "--token", "operator-token"),
+        ("config", "publish", "/nowhere.yaml", "--token", "operator-token"),
+    ],
+)
+def test_a_mistake_is_one_clear_line(args):
+    done = _run(*args)
+    assert done.returncode in (1, 2)
+    assert done.stderr.startswith("chicorylead: ")
+    assert done.stderr.count("\n") == 1
+
+
+def test_settings_check_names_the_field(tmp_path):
+    path = tmp_path / "router.yaml"
+    path.write_text(
+        "id: r1\nzone: a\noperator_token: operator-token\n"
+        "platform: {url: 'http://x', token: platform-token}\n"
+        "link: {key: the-link-key, silence_s: -1}\n"
+    )
+    done = _run("settings", "check", str(path))
+    assert done.returncode == 2
+    assert "link.silence_s" in done.stderr
+
+
+def test_config_validate_takes_both_schemas_and_refuses_a_newer_one(tmp_path):
+    path = tmp_path / "records.yaml"
+    good = (
+        "- {kind: organisation, schema: 1, name: a, spec: {token_sha256: x}}\n"
+        "- {kind: organisation, schema: 2, name: b, spec: {token_sha256: [x]}}\n"
+    )
+    path.write_text(good)
+    assert _run("config", "validate", str(path)).returncode == 0
+    path.write_text(good + "- {kind: organisation, schema: 3, name: c, spec: {}}\n")
+    done = _run("config", "validate", str(path))
+    assert done.returncode == 2
+    assert "schema 3" in done.stderr
--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,139 @@
+"""Queue, ledger, balance and cost of one pool."""
+
+import asyncio
+from math import inf
+
+import pytest
+
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.ids import OrganisationId, ServiceName
+from chicorylead.sharing.balance import Balance, Standing
+from chicorylead.sharing.cost import CostModel
+from chicorylead.sharing.ledger import Ledger
+from chicorylead.sharing.pool import MIN_SHORT, FairPool, FleetState, SharingMode
+
+A, B = OrganisationId("a"), OrganisationId("b")
+
+
+def _pool(n_slots=4.0):
+    pool = FairPool(ServiceName("s"), SharingMode.FLEET)
+    pool.fleet = FleetState(level=n_slots / 2, n_slots=n_slots)
+    return pool
+
+
+async def _submit(pool, organisation, cost, share=1.0, deadline_s=5.0, waiting=1000):
+    length = CostModel(prior=cost).predict(organisation, "op", None)
+    deadline = asyncio.get_running_loop().time() + deadline_s
+    return await pool.acquire(organisation, share, length, deadline, waiting)
+
+
+def test_two_backlogged_organisations_get_the_ratio_of_their_shares():
+    async def body():
+        pool = _pool()
+        served = {A: 0, B: 0}
+
+        async def work(organisation, share):
+            ticket = await _submit(pool, organisation, 10.0, share)
+            pool.deliver(ticket, 10.0)
+            served[organisation] += 10
+            await asyncio.sleep(0)
+            pool.release(ticket)
+
+        tasks = [
+            asyncio.create_task(work(org, share))
+            for org, share in ((A, 3.0), (B, 1.0))
+            for _ in range(400)
+        ]
+        while served[A] + served[B] < 3000:
+            await asyncio.sleep(0)
+        ratio = served[A] / served[B]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert 2.5 < ratio < 3.5
+
+    asyncio.run(body())
+
+
+def test_a_full_queue_and_a_passed_deadline_are_refused_not_run():
+    async def body():
+        pool = _pool(n_slots=0.0)
+        # Short requests have a few slots beside those of the split.
+        for _ in range(MIN_SHORT):
+            await _submit(pool, A, 1.0)
+        waiting = asyncio.create_task(_submit(pool, A, 1.0, deadline_s=0.2))
+        await asyncio.sleep(0)
+        with pytest.raises(Refusal) as full:
+            await _submit(pool, A, 1.0, waiting=1)
+        with pytest.raises(Refusal) as late:
+            await waiting
+        assert full.value.kind is ErrorKind.QUEUE_FULL
+        assert late.value.kind is ErrorKind.DEADLINE_IN_QUEUE
+        assert pool.n_waiting() == 0
+
+    asyncio.run(body())
+
+
+def test_a_request_that_runs_long_becomes_a_long_one():
+    async def body():
+        pool = _pool()
+        ticket = await _submit(pool, A, 10.0)
+        assert not pool.deliver(ticket, 30.0)
+        assert pool.deliver(ticket, 11.0)
+        assert not pool.deliver(ticket, 50.0)
+        assert pool.n_long == 1
+        pool.release(ticket)
+        assert (pool.n_long, pool.n_in_flight) == (0, 0)
+
+    asyncio.run(body())
+
+
+def test_totals_of_another_source_or_a_late_message_add_nothing():
+    ledger = Ledger()
+    shares = {A: 2.0}
+    ledger.take_fleet_totals("root-1", {A: 100.0}, {}, shares)
+    ledger.take_fleet_totals("root-1", {A: 140.0}, {}, shares)
+    assert ledger.account(A).fleet == 20.0
+    ledger.take_fleet_totals("root-1", {A: 120.0}, {}, shares)
+    ledger.take_fleet_totals("root-2", {A: 9000.0}, {}, shares)
+    assert ledger.account(A).fleet == 20.0
+
+
+def test_an_organisation_back_from_idle_does_not_claim_the_time_it_missed():
+    ledger = Ledger()
+    for total in (0.0, 500.0):
+        ledger.take_fleet_totals("root", {A: total}, {}, {A: 1.0})
+    ledger.wake(B, [A])
+    assert ledger.account(B).fleet == 500.0
+
+
+def test_balance_raises_who_lags_and_lowers_who_leads():
+    balance = Balance()
+    served = {1: 0, 2: 0}
+    factors = {}
+    for step in range(20):
+        served[1] += 120
+        served[2] += 40
+        standings = {n: Standing(1.0, served[n], 0, True) for n in served}
+        factors = balance.update(standings, float(step), 1.0)
+    assert factors[1] < 1.0 < factors[2]
+
+
+def test_costs_are_learned_by_kind():
+    costs = CostModel(prior=64.0)
+    for _ in range(5):
+        costs.learn(A, "revise", None, 500.0)
+        costs.learn(A, "check", None, 8.0)
+    assert costs.predict(B, "revise", None).is_long
+    assert not costs.predict(A, "check", None).is_long
+    assert costs.predict(A, "check", None).cost == pytest.approx(8.0)
+
+
+def test_with_room_for_all_an_arrival_is_served_without_a_report():
+    async def body():
+        pool = FairPool(ServiceName("s"), SharingMode.FLEET)
+        pool.fleet = FleetState(level=inf, n_slots=40.0, n_routers=5)
+        tickets = [await _submit(pool, A, 1.0) for _ in range(8)]
+        assert all(ticket.holds_slot for ticket in tickets)
+
+    asyncio.run(body())
