--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -1,6 +1,7 @@
 """Run one scenario on one site and return its figures."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any, NamedTuple
 
 from aiohttp import ClientSession, TCPConnector
@@ -81,6 +82,8 @@
         The figures; `samples` holds what plots need.
     """
     scenario = SCENARIOS[name]
+    if scenario.n_engines:
+        profile = replace(profile, n_engines=scenario.n_engines)
     async with Fleet(profile, seed, sharing) as fleet:
         capacity = await calibrate(fleet)
         idle = await measure_control(fleet, IDLE_S)
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -39,6 +39,7 @@
         flood: Load factor of the first small organisation; 0 for none.
         fault: What goes wrong; gets the fleet and the length in seconds.
         deadline_s: Time in which answers are wanted, seconds.
+        n_engines: Other number of engines than the site has; 0 for the site's.
     """
 
     load: float = 1.0
@@ -49,6 +50,7 @@
     deadline_s: float = 20.0
     long_load: float = 0.9
     short_load: float = 0.15
+    n_engines: int = 0
 
 
 class _Source:
@@ -227,6 +229,8 @@
     "long_short": Scenario(kind="long_short"),
     "short_only": Scenario(kind="long_short", long_load=0.0),
     "slow_upstream": Scenario(load=0.45, fault=_slow_upstream),
+    # The same offered load as slow_upstream, on four engines that are all well.
+    "four_upstreams": Scenario(load=0.45 * 5 / 4, n_engines=4),
     "router_loss": Scenario(load=0.7, fault=_lose_router),
     "partition": Scenario(load=1.0, fault=_partition),
     "log_outage": Scenario(load=0.7, fault=_log_outage),
--- /dev/null
+++ b/tests/integration/test_orders.py
@@ -0,0 +1,83 @@
+"""Orders to engines: one issuer at a time, also across a pause."""
+
+import asyncio
+import signal
+
+from tests.integration.support import run, until
+
+
+def _service(model):
+    return {
+        "kind": "service",
+        "schema": 2,
+        "name": "phrases",
+        "spec": {
+            "type": "engine",
+            "operations": {"check": {}, "revise": {}},
+            "model": model,
+        },
+    }
+
+
+async def _models(fleet):
+    pages = [
+        await fleet.upstream_page(u.name, "/orders")
+        for u in fleet.upstreams.values()
+        if u.kind == "engine"
+    ]
+    return [page["models"] for page in pages]
+
+
+async def _orders(fleet):
+    found = []
+    for upstream in fleet.upstreams.values():
+        if upstream.kind == "engine":
+            found += await fleet.upstream_page(upstream.name, "/standin/orders")
+    return sorted(found, key=lambda order: order[0])
+
+
+async def _ordered(fleet, model, timeout_s=15):
+    async def done():
+        return all(models == [model] for models in await _models(fleet))
+
+    await until(done, timeout_s, f"all engines serve {model}")
+
+
+async def _issuer(fleet):
+    for name, router in fleet.routers.items():
+        if "event=lease_taken" in router.process.log:
+            return name
+    return None
+
+
+def test_engines_come_to_the_declared_model():
+    async def body(fleet):
+        await fleet.operator("router-0", "POST", "/admin/v1/records", _service("m1"))
+        await _ordered(fleet, "m1")
+        await fleet.operator("router-1", "POST", "/admin/v1/records", _service("m2"))
+        await _ordered(fleet, "m2")
+        assert len(await _orders(fleet)) == 4
+
+    run(body)
+
+
+def test_a_paused_issuer_gives_no_order_after_its_lease():
+    async def body(fleet):
+        await fleet.operator("router-0", "POST", "/admin/v1/records", _service("m1"))
+        await _ordered(fleet, "m1")
+        issuer = await _issuer(fleet)
+        assert issuer is not None
+        fleet.signal_router(issuer, signal.SIGSTOP)
+        other = next(name for name in fleet.routers if name != issuer)
+        await fleet.operator(other, "POST", "/admin/v1/records", _service("m2"))
+        await _ordered(fleet, "m2", timeout_s=45)
+        old = max(order[1]["fencing"] for order in await _orders(fleet))
+        fleet.signal_router(issuer, signal.SIGCONT)
+        await asyncio.sleep(4)
+        orders = await _orders(fleet)
+        fencings = [order[1]["fencing"] for order in orders]
+        assert fencings == sorted(fencings)
+        assert max(fencings) >= old
+        assert all(models == ["m2"] for models in await _models(fleet))
+
+    run(body)
