--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 binary: $(VENV)/.installed
 	rm -rf build dist && mkdir -p dist
-	$(BIN)/shiv --quiet --console-script chicorylead --python "/usr/bin/env python3.11" \
+	PIP_CONSTRAINT=$(CURDIR)/requirements.lock $(BIN)/shiv --quiet --console-script chicorylead --python "/usr/bin/env python3.11" \
 	  --compressed --output-file dist/chicorylead --no-build-isolation .
 
 capacity: $(VENV)/.installed
