--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,7 +25,7 @@
 from bench.profile import PROFILES
 from bench.slope import Fit, fit_line
 from chicorylead.ids import Incarnation, Offset, RouterId, ZoneName
-from chicorylead.link.hub import WIRE_OVERHEAD_BYTES
+from chicorylead.link.budget import WIRE_OVERHEAD_BYTES
 from chicorylead.link.message import Codec, Down, Envelope, PoolDown, PoolUp, Up
 from chicorylead.link.tree import parent_of
 from chicorylead.outcome.claim import Claim, ClaimIndex, encode_events
--- a/src/chicorylead/errors.py
+++ b/src/chicorylead/errors.py
@@ -29,8 +29,6 @@
     VERSION_CONFLICT = "version_conflict"
     SCHEMA_UNKNOWN = "schema_unknown"
     KEY_CONFLICT = "key_conflict"
-    KEY_REQUIRED = "key_required"
-    KEY_TOO_OLD = "key_too_old"
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
@@ -40,7 +38,6 @@
     LOG_UNAVAILABLE = "log_unavailable"
     PUBLISH_UNKNOWN = "publish_unknown"
     NOT_READY = "not_ready"
-    LEAVING = "leaving"
     POISON = "poison"
     CALLER_GONE = "caller_gone"
     UPSTREAM_FAILED = "upstream_failed"
@@ -75,8 +72,6 @@
     ErrorKind.VERSION_CONFLICT: Answer(409, _NOT_RUN),
     ErrorKind.SCHEMA_UNKNOWN: Answer(422, _NOT_RUN),
     ErrorKind.KEY_CONFLICT: Answer(409, _NOT_RUN),
-    ErrorKind.KEY_REQUIRED: Answer(422, _NOT_RUN),
-    ErrorKind.KEY_TOO_OLD: Answer(410, _NOT_RUN),
     ErrorKind.IN_PROGRESS: Answer(409, _UNKNOWN, 2),
     ErrorKind.OUTCOME_UNKNOWN: Answer(409, _UNKNOWN),
     ErrorKind.ANSWER_NOT_KEPT: Answer(409, RunState.RAN),
@@ -86,7 +81,6 @@
     ErrorKind.LOG_UNAVAILABLE: Answer(503, _NOT_RUN, 5),
     ErrorKind.PUBLISH_UNKNOWN: Answer(503, _UNKNOWN, 5),
     ErrorKind.NOT_READY: Answer(503, _NOT_RUN, 1),
-    ErrorKind.LEAVING: Answer(503, _NOT_RUN, 1),
     ErrorKind.POISON: Answer(422, _NOT_RUN),
     ErrorKind.CALLER_GONE: Answer(499, _UNKNOWN),
     ErrorKind.UPSTREAM_FAILED: Answer(502, _UNKNOWN, 2),
--- /dev/null
+++ b/src/chicorylead/link/budget.py
@@ -0,0 +1,38 @@
+"""Wire bytes of control, and the period of reports that keeps them in budget."""
+
+__all__ = ["WIRE_OVERHEAD_BYTES", "ByteBudget"]
+
+WIRE_OVERHEAD_BYTES = 112  # TCP, IP and nng headers of a message and of its ack
+REPORT_PART = 0.6  # the rest is left to reports out of turn and the platform
+MAX_PERIOD_S = 5.0
+
+
+class ByteBudget:
+    """Derive the period of reports from the bytes that they take.
+
+    Attributes:
+        n_sent: Wire bytes sent.
+        n_received: Wire bytes received.
+    """
+
+    def __init__(self, rate: float, min_period_s: float) -> None:
+        self._rate = rate
+        self._min_period_s = min_period_s
+        self._message_bytes = 200.0
+        self.n_sent = 0
+        self.n_received = 0
+
+    def note(self, n_bytes: int, sent: bool) -> None:
+        """Count a message."""
+        wire = n_bytes + WIRE_OVERHEAD_BYTES
+        self._message_bytes += 0.1 * (wire - self._message_bytes)
+        if sent:
+            self.n_sent += wire
+        else:
+            self.n_received += wire
+
+    def period_s(self, n_links: int) -> float:
+        """Return the time between reports, each link carrying one each way."""
+        per_round = 2.0 * max(1, n_links) * self._message_bytes
+        period_s = per_round / (REPORT_PART * self._rate)
+        return min(MAX_PERIOD_S, max(self._min_period_s, period_s))
--- a/src/chicorylead/link/hub.py
+++ b/src/chicorylead/link/hub.py
@@ -15,6 +15,7 @@
 import pynng
 
 from chicorylead.ids import Incarnation, Offset, RouterId
+from chicorylead.link.budget import ByteBudget
 from chicorylead.link.message import (
     BadMessage,
     Codec,
@@ -38,12 +39,9 @@
 
 __all__ = ["LinkHub", "ReportSource"]
 
-WIRE_OVERHEAD_BYTES = 112  # TCP, IP and nng headers of a message and of its ack
-REPORT_PART = 0.6  # the rest is left to reports out of turn and the platform
 URGENT_GAP_S = 0.05
 URGENT_CREDIT_PER_PERIOD = 0.25
 MAX_URGENT_CREDIT = 3.0
-MAX_PERIOD_S = 5.0
 PROBE_PERIOD_S = 3.0
 NOTICE_REPEATS = 3
 MAX_NOTICES = 24
@@ -83,37 +81,6 @@
         """Tell whether a report should not wait for the period."""
 
 
-class ByteBudget:
-    """Derive the period of reports from the bytes that they take.
-
-    Attributes:
-        n_sent: Wire bytes sent.
-        n_received: Wire bytes received.
-    """
-
-    def __init__(self, rate: float, min_period_s: float) -> None:
-        self._rate = rate
-        self._min_period_s = min_period_s
-        self._message_bytes = 200.0
-        self.n_sent = 0
-        self.n_received = 0
-
-    def note(self, n_bytes: int, sent: bool) -> None:
-        """Count a message."""
-        wire = n_bytes + WIRE_OVERHEAD_BYTES
-        self._message_bytes += 0.1 * (wire - self._message_bytes)
-        if sent:
-            self.n_sent += wire
-        else:
-            self.n_received += wire
-
-    def period_s(self, n_links: int) -> float:
-        """Return the time between reports, each link carrying one each way."""
-        per_round = 2.0 * max(1, n_links) * self._message_bytes
-        period_s = per_round / (REPORT_PART * self._rate)
-        return min(MAX_PERIOD_S, max(self._min_period_s, period_s))
-
-
 @dataclass(eq=False, slots=True)
 class _Peer:
     """State of the link to one peer."""
--- a/src/chicorylead/report/levels.py
+++ b/src/chicorylead/report/levels.py
@@ -30,7 +30,6 @@
         ErrorKind.NOT_FOUND,
         ErrorKind.TOO_LARGE,
         ErrorKind.KEY_CONFLICT,
-        ErrorKind.KEY_REQUIRED,
         ErrorKind.CALLER_GONE,
         ErrorKind.POISON,
     }
--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -355,6 +355,7 @@
             self._budget,
             self._limits.attempts,
             length.cost,
+            self._store.policy.hedging,
             on_crash,
             self._log,
             self._metrics,
--- a/src/chicorylead/router/serving.py
+++ b/src/chicorylead/router/serving.py
@@ -43,6 +43,7 @@
         budget: Extra attempts allowed over all requests.
         max_attempts: Extra attempts allowed for this one.
         expected_cost: Expected cost, in cost units.
+        may_hedge: Whether a late first byte may be met with a second attempt.
         on_crash: Called with the upstream when it crashed under the request.
 
     Attributes:
@@ -57,6 +58,7 @@
         budget: AttemptBudget,
         max_attempts: int,
         expected_cost: float,
+        may_hedge: bool,
         on_crash: Callable[[UpstreamId], Awaitable[None]],
         log: EventLog,
         metrics: Metrics,
@@ -68,6 +70,7 @@
         self._budget = budget
         self._max_attempts = max_attempts
         self._expected_cost = expected_cost
+        self._may_hedge = may_hedge and not req.is_once
         self._on_crash = on_crash
         self._log = log
         self._metrics = metrics
@@ -121,7 +124,7 @@
             await _close(source)
 
     def _hedge_s(self) -> float | None:
-        if self._req.is_once:
+        if not self._may_hedge:
             return None
         typical_s = self._pool.typical_first_byte_s()
         return max(MIN_HEDGE_S, HEDGE_RATIO * typical_s) if typical_s else None
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,163 @@
+"""Links between routers in one interpreter."""
+
+import asyncio
+from random import Random
+
+from chicorylead.ids import Incarnation, RouterId, ZoneName
+from chicorylead.link.hub import LinkHub
+from chicorylead.link.tree import parent_of
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.platform.api import VmEntry, VmList, VmRole, VmState
+from chicorylead.router.app import Router
+from chicorylead.settings import LinkSettings, PlatformSettings, RouterSettings
+from chicorylead.standin.platform import StandinPlatform, StandinPlatformSettings
+from chicorylead.vm.view import FleetView, Member, MemberState
+
+ZONE = ZoneName("a")
+KEY = "the-link-key"
+
+
+class _Source:
+    """Parts of reports that hold nothing."""
+
+    round_trip_s = 0.0
+
+    def __init__(self):
+        self.n_up = 0
+        self.n_down = 0
+
+    def build_up(self):
+        return {}
+
+    def build_down(self, child):
+        return {}
+
+    def take_up(self, child, incarnation, up):
+        self.n_up += 1
+
+    def take_down(self, down):
+        self.n_down += 1
+
+    def close_round(self):
+        pass
+
+    def drop_child(self, child):
+        pass
+
+    def demand_moved(self):
+        return False
+
+
+class _Node:
+    """A hub with its view."""
+
+    def __init__(self, name, key=KEY):
+        self.metrics = Metrics()
+        self.source = _Source()
+        cfg = LinkSettings(key=key, silence_s=0.5)
+        log = EventLog(router=name)
+        self.hub = LinkHub(cfg, self.source, log, self.metrics, Random(name))
+        address = self.hub.listen()
+        own = Member(RouterId(name), ZONE, "", address, Incarnation(1))
+        self.view = FleetView(own, self.hub.spread_member)
+        self.hub.start(self.view)
+
+    def list(self, *others):
+        vms = [
+            VmEntry(n.name, VmRole.ROUTER, VmState.LIVE, ZONE, "", n.hub.address)
+            for n in others
+        ]
+        self.view.take_list(VmList(1, vms))
+
+    @property
+    def name(self):
+        return self.view.own.id
+
+
+def _names():
+    """Return a child and its parent."""
+    present = [(RouterId("r1"), ZONE), (RouterId("r2"), ZONE)]
+    child = next(n for n, _ in present if parent_of(n, ZONE, present, 4) is not None)
+    return child, parent_of(child, ZONE, present, 4)
+
+
+async def _until(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def test_a_parent_answers_a_child_that_it_has_not_listed_yet():
+    async def body():
+        child_name, parent_name = _names()
+        child, parent = _Node(child_name), _Node(parent_name)
+        child.list(child, parent)
+        await _until(lambda: parent.source.n_up > 0 and child.source.n_down > 0)
+        await child.hub.stop()
+        await parent.hub.stop()
+
+    asyncio.run(body())
+
+
+def test_a_message_signed_with_another_key_is_dropped_and_counted():
+    async def body():
+        child_name, parent_name = _names()
+        child, parent = _Node(child_name, key="another-key"), _Node(parent_name)
+        child.list(child, parent)
+        await _until(lambda: parent.metrics.totals.get("link.bad_messages", 0) > 0)
+        assert parent.source.n_up == 0
+        await child.hub.stop()
+        await parent.hub.stop()
+
+    asyncio.run(body())
+
+
+def test_a_parent_that_stops_is_declared_gone():
+    async def body():
+        child_name, parent_name = _names()
+        child, parent = _Node(child_name), _Node(parent_name)
+        child.list(child, parent)
+        await _until(lambda: child.source.n_down > 0)
+        await parent.hub.stop()
+
+        def is_gone():
+            return child.view.member(parent_name).state is MemberState.GONE
+
+        await _until(is_gone, 10.0)
+        assert child.metrics.totals["link.redials"] >= 1
+        await child.hub.stop()
+
+    asyncio.run(body())
+
+
+def test_two_routers_run_in_one_interpreter():
+    async def body():
+        platform = StandinPlatform(StandinPlatformSettings(vm_lag_s=0.0))
+        await platform.start()
+        routers = []
+        for name in ("r1", "r2"):
+            cfg = RouterSettings(
+                id=name,
+                zone=ZONE,
+                operator_token="operator-token",
+                platform=PlatformSettings(
+                    url=platform.url, token="platform-token", vm_list_period_s=0.1
+                ),
+                link=LinkSettings(key=KEY),
+            )
+            router = Router(cfg, incarnation=1)
+            await router.start()
+            routers.append(router)
+            address = f"127.0.0.1:{router.port}"
+            entry = VmEntry(
+                name, VmRole.ROUTER, VmState.LIVE, ZONE, address, router.link_address
+            )
+            platform.put_vm(entry)
+        await _until(lambda: all(len(r.view.live()) == 2 for r in routers))
+        await _until(lambda: all(r.hub.root == routers[0].hub.root for r in routers))
+        for router in routers:
+            await router.stop()
+        await platform.stop()
+
+    asyncio.run(body())
