Clear innocent requests over the fleet; claim engine operations too

A request that ran to its end after a crash was cleared on one router only, its claim was never given back, and a repeated notice brought the suspicion back, so that a second crash beside it refused it as poison. An engine operation that must not repeat was never claimed. Change: crashes have ids, and notices carry crashes and cleared ones as sets that only grow; a cleared request gives its claim back; a key seen before is read again from the log before it is judged; whole answers of engines and plain services take one path. Conclusion: suspicion merges like the other state, in any order.

--- a/src/chicorylead/link/message.py
+++ b/src/chicorylead/link/message.py
@@ -50,15 +50,17 @@
 
 
 class PoisonNotice(Struct, frozen=True, array_like=True, tag="p"):
-    """A fingerprint ran on upstreams that crashed.
+    """Crashes of upstreams under one request.
 
     Attributes:
-        victims: Upstreams that fell to it.
+        crashes: Ids of crashes: upstream, mark and number.
+        cleared: Those of which the request was cleared by running to its end.
         ttl_s: How long the notice stays in force, seconds.
     """
 
     fingerprint: str
-    victims: list[UpstreamId]
+    crashes: list[str]
+    cleared: list[str]
     ttl_s: float
 
 
--- a/src/chicorylead/outcome/claimer.py
+++ b/src/chicorylead/outcome/claimer.py
@@ -135,7 +135,7 @@
                 did not run, and the claim is made void.
         """
         partition = self._partition(key)
-        state = partition.index.get(key)
+        state = await self._known_state(partition, key)
         if state is None:
             claim = Claim(
                 key,
@@ -156,6 +156,19 @@
         self._metrics.count("claim.lost")
         return Lost(state)
 
+    async def _known_state(self, partition: _Partition, key: str) -> KeyState | None:
+        """Return the state of a key that was seen before, read again if possible.
+
+        Its holder or an operator may have voided or settled it since.
+        """
+        state = partition.index.get(key)
+        if state is None:
+            return None
+        try:
+            return await self.look_up(key)
+        except PlatformUnavailable:
+            return state
+
     async def _try_claim(
         self, partition: _Partition, claim: Claim, deadline: float
     ) -> KeyState:
--- a/src/chicorylead/outcome/poison.py
+++ b/src/chicorylead/outcome/poison.py
@@ -8,6 +8,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from random import Random
 
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.link.message import PoisonNotice
@@ -16,6 +17,7 @@
 
 N_VICTIMS_TO_CONVICT = 2
 MAX_SUSPECTS = 10_000
+MARK = "|"  # between upstream and number in the id of a crash
 
 
 def fingerprint_of(service: ServiceName, operation: str, body: bytes) -> str:
@@ -26,23 +28,36 @@
 
 @dataclass(slots=True)
 class _Suspect:
-    victims: set[UpstreamId] = field(default_factory=set)
+    """Crashes under one fingerprint; both sets only grow, so that they merge."""
+
+    crashes: set[str] = field(default_factory=set)
+    cleared: set[str] = field(default_factory=set)
     until: float = 0.0
 
+    @property
+    def victims(self) -> frozenset[UpstreamId]:
+        open_crashes = self.crashes - self.cleared
+        return frozenset(UpstreamId(c.partition(MARK)[0]) for c in open_crashes)
+
 
 class PoisonList:
-    """Suspects and convicts, merged from all routers."""
+    """Suspects and convicts, merged from all routers.
+
+    Args:
+        rng: Source of crash ids.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: Random) -> None:
         self._suspects: dict[str, _Suspect] = {}
         self._clock = asyncio.get_running_loop().time
+        self._rng = rng
 
     def note_crash(
         self, fingerprint: str, upstream: UpstreamId, ttl_s: float
     ) -> PoisonNotice:
         """Note that an upstream crashed under a request."""
-        notice = PoisonNotice(fingerprint, [upstream], ttl_s)
-        self.take(notice)
+        crash = f"{upstream}{MARK}{self._rng.getrandbits(32):08x}"
+        self.take(PoisonNotice(fingerprint, [crash], [], ttl_s))
         return self.notice(fingerprint)
 
     def take(self, notice: PoisonNotice) -> bool:
@@ -53,42 +68,47 @@
             if len(self._suspects) >= MAX_SUSPECTS:
                 self._suspects.pop(next(iter(self._suspects)))
             suspect = self._suspects[notice.fingerprint] = _Suspect()
-        n_before = len(suspect.victims)
-        suspect.victims.update(notice.victims)
+        n_before = len(suspect.crashes) + len(suspect.cleared)
+        suspect.crashes.update(notice.crashes)
+        suspect.cleared.update(notice.cleared)
         suspect.until = max(suspect.until, now + notice.ttl_s)
-        return len(suspect.victims) > n_before
+        return len(suspect.crashes) + len(suspect.cleared) > n_before
 
-    def clear(self, fingerprint: str) -> None:
-        """Drop a suspicion after the request ran to its end."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None and len(suspect.victims) < N_VICTIMS_TO_CONVICT:
-            del self._suspects[fingerprint]
+    def clear(self, fingerprint: str) -> PoisonNotice | None:
+        """Drop a suspicion after the request ran to its end.
+
+        Returns:
+            What other routers have to know; None if there is nothing to drop.
+        """
+        if not self.is_suspect(fingerprint) or self.is_convicted(fingerprint):
+            return None
+        suspect = self._suspects[fingerprint]
+        suspect.cleared.update(suspect.crashes)
+        return self.notice(fingerprint)
 
     def notice(self, fingerprint: str) -> PoisonNotice:
         """Return all that is known of a fingerprint."""
         suspect = self._suspects[fingerprint]
         ttl_s = max(0.0, suspect.until - self._clock())
-        return PoisonNotice(fingerprint, sorted(suspect.victims), ttl_s)
+        return PoisonNotice(
+            fingerprint, sorted(suspect.crashes), sorted(suspect.cleared), ttl_s
+        )
 
     def is_suspect(self, fingerprint: str) -> bool:
-        """Tell whether one upstream crashed under a request."""
-        return self._n_victims(fingerprint) > 0
+        """Tell whether an upstream crashed under a request that is not cleared."""
+        return bool(self.victims(fingerprint))
 
     def is_convicted(self, fingerprint: str) -> bool:
         """Tell whether a request is refused."""
-        return self._n_victims(fingerprint) >= N_VICTIMS_TO_CONVICT
+        return len(self.victims(fingerprint)) >= N_VICTIMS_TO_CONVICT
 
     def victims(self, fingerprint: str) -> frozenset[UpstreamId]:
         """Return the upstreams that fell to a request."""
         suspect = self._suspects.get(fingerprint)
-        return frozenset(suspect.victims) if suspect else frozenset()
+        if suspect is None or suspect.until < self._clock():
+            return frozenset()
+        return suspect.victims
 
     def convicts(self) -> list[str]:
         """Return all fingerprints that are refused."""
         return [f for f in self._suspects if self.is_convicted(f)]
-
-    def _n_victims(self, fingerprint: str) -> int:
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.until < self._clock():
-            return 0
-        return len(suspect.victims)
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -99,7 +99,7 @@
         )
         self._publisher = Publisher(self._platform, self.store, self.reader, rng)
         self._client = ExchangeClient(cfg.timeouts)
-        self.poison = PoisonList()
+        self.poison = PoisonList(rng)
         self._claimer = Claimer(
             self._platform,
             own.id,
--- a/src/chicorylead/router/callers.py
+++ b/src/chicorylead/router/callers.py
@@ -27,7 +27,6 @@
 from chicorylead.router.openapi import OPENAPI
 from chicorylead.router.reading import RequestReader
 from chicorylead.settings import RouterSettings
-from chicorylead.upstream.exchange import PlainAnswer
 from chicorylead.vm.address import answer_address
 from chicorylead.vm.view import FleetView
 
@@ -133,14 +132,17 @@
     async def _new_form(self, request: Request) -> Response:
         req = await self._reader.read(request)
         wants_stream = "text/event-stream" in request.headers.get("accept", "")
-        if wants_stream and req.service.type is ServiceType.ENGINE:
+        # What runs at most once is answered whole, so that a second send of the
+        # same key can get the same answer.
+        is_engine = req.service.type is ServiceType.ENGINE
+        if wants_stream and is_engine and not req.is_once:
             return await self._answer_stream(req)
         return await self._answer_whole(request, req)
 
     async def _answer_whole(self, request: Request, req: CallerRequest) -> Response:
         """Answer with one body, and give up when the caller goes."""
         started = self._clock()
-        task = asyncio.create_task(self._whole(req))
+        task = asyncio.create_task(self._dispatcher.answer(req))
         gone = asyncio.create_task(_wait_for_disconnect(request))
         self._active[req.organisation, req.id] = task
         try:
@@ -166,14 +168,6 @@
         }
         return Response(answer.body, answer.status, headers, answer.content_type)
 
-    async def _whole(self, req: CallerRequest) -> PlainAnswer:
-        if req.service.type is ServiceType.PLAIN:
-            return await self._dispatcher.call(req)
-        parts = [data async for data in self._dispatcher.stream(req)]
-        tokens = _tokens_of(b"".join(parts))
-        body = {"text": " ".join(tokens), "n_tokens": len(tokens), "request": req.id}
-        return PlainAnswer(200, "application/json", msgspec.json.encode(body))
-
     async def _answer_stream(self, req: CallerRequest) -> Response:
         """Answer with events; the status is sent once the first one is there."""
         started = self._clock()
@@ -299,11 +293,5 @@
         pass
 
 
-def _tokens_of(events: bytes) -> list[str]:
-    """Return the data of each event."""
-    text = events.decode("utf-8", "replace")
-    return [line[6:] for line in text.split("\n") if line.startswith("data: ")]
-
-
 def _last_event(event: str, body: dict[str, object]) -> bytes:
     return f"event: {event}\ndata: ".encode() + msgspec.json.encode(body) + b"\n\n"
--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -1,16 +1,19 @@
 """The path of one request: queue, slot, claim, attempts, settlement."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass
 from random import Random
+from typing import Any
+
+import msgspec
 
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.ids import OrganisationId, ServiceName, UpstreamId
 from chicorylead.link.message import PoisonNotice
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.outcome.claim import KeyState, Outcome, OutcomeState
+from chicorylead.outcome.claim import Claim, KeyState, Outcome, OutcomeState
 from chicorylead.outcome.claimer import Claimer, Won
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.reconcile import Reconciler
@@ -34,6 +37,7 @@
 HOLDER_GONE_POLL_S = 0.5
 UNSETTLED_MARGIN_S = 0.2
 TIME_LEFT_PART = 0.8
+DATA_FIELD = "data: "
 
 
 @dataclass(slots=True)
@@ -84,8 +88,9 @@
         self._budget = AttemptBudget(limits.extra_attempt_ratio)
         self._pools: dict[ServiceName, ServicePool] = {}
         self._running: set[asyncio.Task[PlainAnswer]] = set()
-        self.on_poison = lambda notice: None
-        self.on_demand = lambda: None
+        self._suspect_claims: dict[str, Claim] = {}
+        self.on_poison: Callable[[PoisonNotice], None] = lambda notice: None
+        self.on_demand: Callable[[], None] = lambda: None
 
     # -- pools
 
@@ -135,26 +140,34 @@
                     pool.costs.learn(req.organisation, req.operation, req.hint, cost)
                 yield data
             pool.costs.learn(req.organisation, req.operation, req.hint, cost)
-            self._poison.clear(req.fingerprint)
+            self._clear_suspicion(req.fingerprint)
         finally:
             pool.queue.release(ticket)
             self.on_demand()
 
-    # -- plain services
+    # -- whole answers
 
-    async def call(self, req: CallerRequest) -> PlainAnswer:
-        """Return the answer of a plain service.
+    async def answer(self, req: CallerRequest) -> PlainAnswer:
+        """Return the whole answer of an engine or a plain service.
 
         Raises:
             Refusal: There is no whole answer.
         """
         if not req.is_once:
-            return await self._call(req)
+            return await self._run(req)
         if req.key is None:
-            return await self._finish(self._call(req))
-        return await self._finish(self._call_claimed(req))
-
-    async def _finish(self, coro) -> PlainAnswer:  # noqa: ANN001
+            return await self._finish(self._run(req))
+        return await self._finish(self._run_at_most_once(req))
+
+    async def _run(self, req: CallerRequest) -> PlainAnswer:
+        match req.service.type:
+            case ServiceType.ENGINE:
+                parts = [data async for data in self.stream(req)]
+                return _joined(req, b"".join(parts))
+            case ServiceType.PLAIN:
+                return await self._call(req)
+
+    async def _finish(self, coro: Coroutine[Any, Any, PlainAnswer]) -> PlainAnswer:
         """Let a request that must not be cut run on when its caller goes."""
         task = asyncio.create_task(coro)
         self._running.add(task)
@@ -173,7 +186,7 @@
         started = self._clock()
         try:
             answer = await self._attempts(req, pool, length).call()
-            self._poison.clear(req.fingerprint)
+            self._clear_suspicion(req.fingerprint)
             return answer
         finally:
             cost = (self._clock() - started) * MS_PER_S
@@ -184,7 +197,7 @@
 
     # -- at most once
 
-    async def _call_claimed(self, req: CallerRequest) -> PlainAnswer:
+    async def _run_at_most_once(self, req: CallerRequest) -> PlainAnswer:
         """Run a request under a claim, or return what became of it."""
         digest = req.fingerprint
         while True:
@@ -198,7 +211,7 @@
     async def _run_claimed(self, req: CallerRequest, won: Won) -> PlainAnswer:
         claim = won.claim
         try:
-            answer = await self._call(req)
+            answer = await self._run(req)
         except Refusal as exc:
             if exc.kind in (ErrorKind.UPSTREAM_FAILED, ErrorKind.UPSTREAM_TIMEOUT):
                 return await self._reconcile(req, claim.attempt, exc)
@@ -220,29 +233,27 @@
             raise exc
         return found
 
-    def _settle(self, key: str, attempt: str, answer: PlainAnswer | None) -> None:
-        if answer is None:
-            self._claimer.settle(Outcome(key, attempt, OutcomeState.UNKNOWN))
-            return
-        body = None
-        if len(answer.body) <= MAX_KEPT_ANSWER_BYTES:
-            body = answer.body.decode("latin-1")
-        self._claimer.settle(
-            Outcome(
+    def _settle(self, key: str, attempt: str, answer: PlainAnswer | None) -> Outcome:
+        """Append how a request ended, in the background, and return it."""
+        outcome = Outcome(key, attempt, OutcomeState.UNKNOWN)
+        if answer is not None:
+            is_kept = len(answer.body) <= MAX_KEPT_ANSWER_BYTES
+            outcome = Outcome(
                 key,
                 attempt,
                 OutcomeState.ANSWERED,
                 answer.status,
                 answer.content_type,
-                body,
+                answer.body.decode("latin-1") if is_kept else None,
             )
-        )
+        self._claimer.settle(outcome)
+        return outcome
 
     async def _wait_for_holder(
         self, req: CallerRequest, state: KeyState
     ) -> KeyState | None:
         """Wait until the holder of a key settles; None when the key is free again."""
-        current: KeyState | None = await self._refresh(req, state)
+        current: KeyState | None = state
         while current is not None:
             outcome = current.outcome
             if outcome is not None and outcome.state is OutcomeState.ANSWERED:
@@ -259,13 +270,6 @@
                 await asyncio.sleep(HOLDER_GONE_POLL_S)
         return None
 
-    async def _refresh(self, req: CallerRequest, state: KeyState) -> KeyState | None:
-        """Read the log again: an operator may have resolved the key since."""
-        try:
-            return await self._claimer.look_up(req.claim_key)
-        except PlatformUnavailable:
-            return state
-
     async def _recover(self, req: CallerRequest, state: KeyState) -> KeyState:
         """Settle the key of a holder that cannot, if the service can tell."""
         found = await self._reconciler.ask(req)
@@ -274,8 +278,8 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 "an earlier attempt may have run; an operator can resolve it",
             )
-        self._settle(req.claim_key, state.claim.attempt, found)
-        return await self._refresh(req, state) or state
+        outcome = self._settle(req.claim_key, state.claim.attempt, found)
+        return KeyState(state.claim, state.offset, outcome)
 
     def _answer_of(self, req: CallerRequest, state: KeyState) -> PlainAnswer:
         outcome = state.outcome
@@ -378,6 +382,17 @@
                 ErrorKind.UPSTREAM_FAILED,
                 "an upstream crashed under this request, and it is tried elsewhere",
             )
+        self._suspect_claims[req.fingerprint] = verdict.claim
+
+    def _clear_suspicion(self, fingerprint: str) -> None:
+        """Tell all routers that a suspect ran to its end."""
+        notice = self._poison.clear(fingerprint)
+        if notice is None:
+            return
+        self.on_poison(notice)
+        claim = self._suspect_claims.pop(fingerprint, None)
+        if claim is not None:
+            self._claimer.void(claim)
 
     def _publish_poison(
         self, notice: PoisonNotice, organisation: OrganisationId
@@ -387,6 +402,14 @@
             "upstream_crashed",
             fingerprint=notice.fingerprint,
             organisation=organisation,
-            n_victims=len(notice.victims),
+            n_crashes=len(notice.crashes),
         )
         self.on_poison(notice)
+
+
+def _joined(req: CallerRequest, events: bytes) -> PlainAnswer:
+    """Return the body that holds the data of all events."""
+    lines = events.decode("utf-8", "replace").split("\n")
+    tokens = [line[len(DATA_FIELD) :] for line in lines if line.startswith(DATA_FIELD)]
+    body = {"text": " ".join(tokens), "n_tokens": len(tokens), "request": req.id}
+    return PlainAnswer(200, "application/json", msgspec.json.encode(body))
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -120,3 +120,22 @@
             assert (refused.error, refused.run_state) == ("poison", "not_run")
 
     run(body, n_engines=4)
+
+
+def test_an_innocent_request_is_cleared_after_a_crash():
+    async def body(fleet):
+        sending = asyncio.create_task(_send_many(fleet, 6, 150))
+        await asyncio.sleep(0.6)
+        fleet.upstreams["runner-0"].process.signal(signal.SIGKILL)
+        _assert_whole(await sending, 150)
+        await fleet.restart_upstream("runner-0")
+        await asyncio.sleep(1.0)
+        again = asyncio.create_task(_send_many(fleet, 6, 150))
+        await asyncio.sleep(0.6)
+        fleet.upstreams["runner-1"].process.signal(signal.SIGKILL)
+        _assert_whole(await again, 150)
+        for name in fleet.routers:
+            status = await fleet.operator(name, "GET", "/admin/v1/status")
+            assert status["poison"] == []
+
+    run(body)
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -148,3 +148,40 @@
         assert after.status == 200
 
     run(body)
+
+
+def test_an_engine_operation_that_must_not_repeat_runs_once():
+    async def body(fleet):
+        name = fleet.profile.engine_service
+        record = {
+            "kind": "service",
+            "schema": 2,
+            "name": name,
+            "spec": {
+                "type": "engine",
+                "operations": {"draft": {"idempotent": False}, "check": {}},
+            },
+        }
+        await fleet.operator("router-0", "POST", "/admin/v1/records", record)
+        request = {"prompt": "p", "n_tokens": 20, "marker": "m/1"}
+
+        async def is_known():
+            probe = {"marker": "m/0", "n_tokens": 1}
+            answers = [
+                await send(fleet, router, f"/v1/{name}/draft", probe)
+                for router in fleet.routers
+            ]
+            return all(answer.status == 200 for answer in answers)
+
+        await until(is_known, 7, "the operation is known")
+        answers = await asyncio.gather(
+            *(
+                send(fleet, router, f"/v1/{name}/draft", request, key="k1")
+                for router in fleet.routers
+            )
+        )
+        assert [answer.status for answer in answers] == [200, 200, 200]
+        assert len({answer.body["text"] for answer in answers}) == 1
+        assert await runs(fleet, "m/1") == 1
+
+    run(body)
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,62 @@
+"""The list of requests that crash upstreams, merged from notices in any order."""
+
+import asyncio
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicorylead.ids import UpstreamId
+from chicorylead.link.message import PoisonNotice
+from chicorylead.outcome.poison import PoisonList
+
+U1, U2 = UpstreamId("u1"), UpstreamId("u2")
+crash_ids = st.lists(st.sampled_from(["u1|1", "u1|2", "u2|3", "u3|4"]), max_size=4)
+
+
+def _in_loop(body):
+    async def run():
+        return body()
+
+    return asyncio.run(run())
+
+
+def test_two_upstreams_convict_and_one_twice_does_not():
+    def body():
+        poison = PoisonList(Random(1))
+        poison.note_crash("f", U1, 60.0)
+        poison.note_crash("f", U1, 60.0)
+        assert poison.is_suspect("f") and not poison.is_convicted("f")
+        poison.note_crash("f", U2, 60.0)
+        assert poison.is_convicted("f")
+        assert poison.clear("f") is None
+
+    _in_loop(body)
+
+
+def test_a_repeated_notice_of_a_cleared_crash_changes_nothing():
+    def body():
+        here, there = PoisonList(Random(1)), PoisonList(Random(2))
+        crash = here.note_crash("f", U1, 60.0)
+        there.take(crash)
+        there.take(here.clear("f"))
+        there.take(crash)
+        assert not there.is_suspect("f")
+        there.note_crash("f", U2, 60.0)
+        assert not there.is_convicted("f")
+
+    _in_loop(body)
+
+
+@given(st.lists(st.tuples(crash_ids, crash_ids), max_size=6), st.randoms())
+def test_notices_merge_alike_in_any_order(notices, rng):
+    def body():
+        lists = [PoisonList(Random(1)), PoisonList(Random(1))]
+        shuffled = list(notices)
+        rng.shuffle(shuffled)
+        for poison, order in zip(lists, (notices, shuffled), strict=True):
+            for crashes, cleared in order:
+                poison.take(PoisonNotice("f", crashes, cleared, 60.0))
+        assert lists[0].victims("f") == lists[1].victims("f")
+
+    _in_loop(body)
