--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -36,7 +36,7 @@
 MAX_KEPT_ANSWER_BYTES = 16_384
 HOLDER_GONE_POLL_S = 0.5
 UNSETTLED_MARGIN_S = 0.2
-TIME_LEFT_PART = 0.8
+TIME_LEFT_FACTOR = 1.5
 DATA_FIELD = "data: "
 
 
@@ -338,7 +338,7 @@
         """
         expected_s = ticket.length.cost * pool.upstreams.typical_token_s()
         left_s = req.deadline - self._clock()
-        if left_s > TIME_LEFT_PART * expected_s:
+        if left_s > TIME_LEFT_FACTOR * expected_s:
             return
         pool.queue.release(ticket)
         raise Refusal(
