--- a/src/chicorylead/http_server.py
+++ b/src/chicorylead/http_server.py
@@ -75,6 +75,7 @@
             limit_concurrency=n_connections,
             timeout_keep_alive=15,
             server_header=False,
+            proxy_headers=False,
         )
         self._server = _Server(cfg)
         self._task: asyncio.Task[None] | None = None
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -3,10 +3,11 @@
 import asyncio
 from random import Random
 
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
-from starlette.routing import Route
+from starlette.routing import Mount, Route
+from starlette.routing import Router as PathRouter
+from starlette.types import Receive, Scope, Send
 
 from chicorylead.application import Application
 from chicorylead.errors import ErrorKind, Refusal
@@ -144,7 +145,7 @@
         self._complete_from_peer = False
         self._is_take_over_due = False
         self._server = HttpServer(
-            self._starlette(),
+            self._paths(),
             cfg.host,
             cfg.port,
             n_connections=cfg.limits.n_connections,
@@ -172,7 +173,7 @@
 
     # -- building
 
-    def _starlette(self) -> Starlette:
+    def _paths(self) -> PathRouter:
         callers = CallerInterface(
             self._cfg,
             self.store,
@@ -204,9 +205,11 @@
             Route("/health", self._health),
             *operators.routes(),
             *callers.routes(),
+            Mount("/", app=_not_found),
         ]
-        handlers = {404: _not_found, 405: _not_found}
-        return Starlette(routes=routes, exception_handlers=handlers)
+        # The plain path router: handlers answer their own errors, so that the
+        # layers which an application object puts around each send are not needed.
+        return PathRouter(routes=routes)
 
     def _wire(self) -> None:
         """Connect the parts with each other and with the life cycle."""
@@ -424,6 +427,7 @@
             self._metrics.gauge("view.live", len(self.view.live()))
 
 
-async def _not_found(request: Request, exc: Exception) -> Response:
-    path = request.url.path[:64]
-    return error_response(Refusal(ErrorKind.NOT_FOUND, f"no such page: {path!r}"))
+async def _not_found(scope: Scope, receive: Receive, send: Send) -> None:
+    path = scope["path"][:64]
+    refusal = Refusal(ErrorKind.NOT_FOUND, f"no such page or method: {path!r}")
+    await error_response(refusal)(scope, receive, send)
--- a/src/chicorylead/upstream/exchange.py
+++ b/src/chicorylead/upstream/exchange.py
@@ -165,6 +165,9 @@
         left_s = deadline - self._clock()
         limit_s = min(self._timeouts.between_bytes_s, left_s)
         try:
+            # A timer for each part is dear; what is there already needs none.
+            if limit_s > 0 and (data := resp.content.read_nowait()):
+                return data
             async with asyncio.timeout(limit_s):
                 return await resp.content.readany()
         except TimeoutError:
