--- a/src/chicorylead/link/budget.py
+++ b/src/chicorylead/link/budget.py
@@ -3,7 +3,7 @@
 __all__ = ["WIRE_OVERHEAD_BYTES", "ByteBudget"]
 
 WIRE_OVERHEAD_BYTES = 112  # TCP, IP and nng headers of a message and of its ack
-REPORT_PART = 0.6  # the rest is left to reports out of turn and the platform
+REPORT_PART = 0.55  # the rest is left to reports out of turn and the platform
 MAX_PERIOD_S = 5.0
 
 
--- a/src/chicorylead/link/hub.py
+++ b/src/chicorylead/link/hub.py
@@ -31,6 +31,8 @@
     RouterNotice,
     Up,
 )
+from chicorylead.link.outreach import Outreach, dial
+from chicorylead.link.replay import ReplayGuard
 from chicorylead.link.tree import parent_of
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
@@ -42,11 +44,9 @@
 URGENT_GAP_S = 0.05
 URGENT_CREDIT_PER_PERIOD = 0.25
 MAX_URGENT_CREDIT = 3.0
-PROBE_PERIOD_S = 3.0
 NOTICE_REPEATS = 3
 MAX_NOTICES = 24
 NOTICE_MEMORY_S = 10.0
-SEND_BUFFER = 16
 CHILD_TTL_S = 6.0
 
 
@@ -126,11 +126,12 @@
         self._clock = asyncio.get_running_loop().time
         self._peers: dict[RouterId, _Peer] = {}
         self._sequence = 0
-        self._last_sequences: dict[RouterId, tuple[int, int]] = {}
+        self._replay_guard = ReplayGuard()
         self._recent: deque[tuple[float, Notice]] = deque(maxlen=200)
         self._tasks: list[asyncio.Task[None]] = []
         self._listener: pynng.Pull0 | None = None
         self._view: FleetView | None = None
+        self._outreach: Outreach | None = None
         self._root: tuple[RouterId, Incarnation, int] | None = None
         self.budget = ByteBudget(cfg.budget_bytes_per_s, cfg.min_period_s)
         self.address = ""
@@ -153,10 +154,11 @@
     def start(self, view: FleetView) -> None:
         """Start to send and take in messages."""
         self._view = view
+        self._outreach = Outreach(view, self.address, self._send, self._rng)
         self._tasks = [
             asyncio.create_task(self._receive()),
             asyncio.create_task(self._keep_links()),
-            asyncio.create_task(self._probe_lost()),
+            asyncio.create_task(self._outreach.probe_lost()),
         ]
 
     async def stop(self) -> None:
@@ -165,6 +167,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self._outreach is not None:
+            await self._outreach.stop()
         if self._listener is not None:
             self._listener.close()
 
@@ -190,6 +194,10 @@
         )
         self.spread(RouterNotice(notice))
 
+    def query_records(self, after: Offset) -> bool:
+        """Ask one present router for configuration above an offset."""
+        return self._outreach is not None and self._outreach.query_records(after)
+
     def report_soon(self) -> None:
         """Send reports without waiting for the period if demand moved."""
         if not self._source.demand_moved():
@@ -272,7 +280,7 @@
         n_dials = 0
         while True:
             n_dials += 1
-            with self._dial(self._address_of(peer)) as sock:
+            with dial(self._address_of(peer)) as sock:
                 await self._report_until_silent(peer, sock)
             self._metrics.count("link.redials")
             silent_s = self._clock() - max(peer.heard_at, opened_at)
@@ -293,13 +301,6 @@
         self._drop(peer)
         self._view.declare(peer.id, MemberState.GONE)
 
-    def _dial(self, address: str) -> pynng.Push0:
-        sock = pynng.Push0(send_buffer_size=SEND_BUFFER)
-        sock.reconnect_time_min = 50
-        sock.reconnect_time_max = 500
-        sock.dial(f"tcp://{address}", block=False)
-        return sock
-
     def _silence_s(self, peer: _Peer) -> float:
         return max(self._cfg.silence_s, 3.0 * max(peer.period_s, self.period_s))
 
@@ -396,12 +397,14 @@
 
     def _take(self, envelope: Envelope) -> None:
         assert self._view is not None
+        assert self._outreach is not None
         sender = envelope.sender
-        order = (envelope.incarnation, envelope.sequence)
-        if sender == self._own.id or order <= self._last_sequences.get(sender, (0, 0)):
+        is_report = isinstance(envelope.payload, Up | Down)
+        if sender == self._own.id or not self._replay_guard.is_fresh(
+            sender, envelope.incarnation, envelope.sequence, is_report
+        ):
             self._metrics.count("link.stale_messages")
             return
-        self._last_sequences[sender] = order
         member = self._view.heard_from(sender, envelope.incarnation, self._clock())
         peer = self._peers.get(sender)
         if peer is not None:
@@ -414,15 +417,15 @@
             case Down() as down:
                 self._take_down(sender, down)
             case Probe(link=link, notices=notices):
-                is_misjudged = self._is_misjudged(notices)
+                is_misjudged = self._outreach.is_misjudged(notices)
                 self._take_notices_in(notices, sender)
-                self._answer_probe(sender, link, is_misjudged)
+                self._outreach.answer_probe(sender, link, is_misjudged)
                 if self.needs_records():
                     # With the platform down, a probe is how peers become known.
-                    self._send_once(link, RecordsQuery(self.address, Offset(0)))
+                    self._outreach.query_records_at(link, Offset(0))
             case RecordsQuery(link=link, after=after):
                 if self.answer_records is not None:
-                    self._send_once(link, self.answer_records(after))
+                    self._outreach.send_once(link, self.answer_records(after))
             case RecordsAnswer() as answer:
                 self.on_records(answer)
 
@@ -466,78 +469,3 @@
     def _note_config(self, sender: RouterId, offset: Offset) -> None:
         if offset > self.config_offset():
             self.on_config_ahead(sender, offset)
-
-    # -- messages outside the tree
-
-    def _send_once(self, address: str, payload: Payload) -> None:
-        """Send one message on a socket of its own."""
-        task = asyncio.create_task(self._send_and_close(address, payload))
-        self._tasks.append(task)
-        task.add_done_callback(self._tasks.remove)
-
-    async def _send_and_close(self, address: str, payload: Payload) -> None:
-        with self._dial(address) as sock:
-            for _ in range(20):
-                if self._send(sock, payload):
-                    break
-                await asyncio.sleep(0.05)
-            await asyncio.sleep(0.5)
-
-    def query_records(self, after: Offset) -> bool:
-        """Ask one present router for configuration above an offset."""
-        assert self._view is not None
-        others = [m for m in self._view.present() if m.id != self._own.id and m.link]
-        if not others:
-            return False
-        chosen = self._rng.choice(sorted(others, key=lambda member: member.id))
-        self._send_once(chosen.link, RecordsQuery(self.address, after))
-        return True
-
-    async def _probe_lost(self) -> None:
-        """Look now and then whether a router that was lost is back.
-
-        A router that hears nobody, as after its own restart, looks for anybody.
-        """
-        assert self._view is not None
-        while True:
-            await asyncio.sleep(PROBE_PERIOD_S * self._rng.uniform(0.7, 1.3))
-            others = [m for m in self._view.members() if m.id != self._own.id]
-            listed = [m for m in others if m.listed and m.link]
-            lost = [m for m in listed if m.state is MemberState.GONE]
-            silent_since = self._clock() - PROBE_PERIOD_S
-            if all(m.heard_at < silent_since for m in others):
-                lost = listed
-            if lost:
-                member = self._rng.choice(sorted(lost, key=lambda m: m.id))
-                self._send_once(member.link, self._probe_of(member))
-
-    def _probe_of(self, member: Member) -> Probe:
-        """Return a probe that tells a router what is said of it."""
-        news: list[Notice] = [
-            RouterNotice(member.notice),
-            RouterNotice(self._own.notice),
-        ]
-        return Probe(self.address, news)
-
-    def _is_misjudged(self, notices: list[Notice]) -> bool:
-        """Tell whether a probe says something of this router that is not so."""
-        own = self._own.notice
-        return any(
-            isinstance(n, RouterNotice)
-            and n.member.router == own.router
-            and n.member != own
-            for n in notices
-        )
-
-    def _answer_probe(self, sender: RouterId, link: str, is_misjudged: bool) -> None:
-        """Answer if either side takes the other for gone, so that it refutes."""
-        assert self._view is not None
-        member = self._view.member(sender)
-        is_gone = member is not None and member.state is MemberState.GONE
-        if not (is_misjudged or is_gone):
-            return
-        if member is not None and member.link:
-            self._send_once(member.link, self._probe_of(member))
-        else:
-            news: list[Notice] = [RouterNotice(self._own.notice)]
-            self._send_once(link, Probe(self.address, news))
--- /dev/null
+++ b/src/chicorylead/link/replay.py
@@ -0,0 +1,59 @@
+"""Drop messages that were seen before, and reports overtaken by newer ones."""
+
+from dataclasses import dataclass, field
+
+from chicorylead.ids import Incarnation, RouterId
+
+__all__ = ["ReplayGuard"]
+
+WINDOW = 1024
+
+
+@dataclass(slots=True)
+class _Seen:
+    """Sequences of one incarnation of one router."""
+
+    incarnation: Incarnation
+    highest: int = 0
+    highest_report: int = 0
+    recent: set[int] = field(default_factory=set)
+
+
+class ReplayGuard:
+    """Judge sequences by sender.
+
+    Messages outside the tree take other connections than reports and may arrive out
+    of order; only reports have to be newer than the last one.
+    """
+
+    def __init__(self) -> None:
+        self._senders: dict[RouterId, _Seen] = {}
+
+    def is_fresh(
+        self,
+        sender: RouterId,
+        incarnation: Incarnation,
+        sequence: int,
+        is_report: bool,
+    ) -> bool:
+        """Note a message and return whether it may be taken in."""
+        seen = self._senders.get(sender)
+        if seen is None or incarnation > seen.incarnation:
+            seen = self._senders[sender] = _Seen(incarnation)
+        if incarnation < seen.incarnation:
+            return False
+        if sequence in seen.recent or sequence <= seen.highest - WINDOW:
+            return False
+        if is_report and sequence <= seen.highest_report:
+            return False
+        self._note(seen, sequence, is_report)
+        return True
+
+    def _note(self, seen: _Seen, sequence: int, is_report: bool) -> None:
+        seen.highest = max(seen.highest, sequence)
+        if is_report:
+            seen.highest_report = sequence
+        seen.recent.add(sequence)
+        if len(seen.recent) > 2 * WINDOW:
+            oldest = seen.highest - WINDOW
+            seen.recent = {number for number in seen.recent if number > oldest}
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,6 +5,7 @@
 
 from chicorylead.ids import Incarnation, RouterId, ZoneName
 from chicorylead.link.hub import LinkHub
+from chicorylead.link.replay import ReplayGuard
 from chicorylead.link.tree import parent_of
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
@@ -161,3 +162,18 @@
         await platform.stop()
 
     asyncio.run(body())
+
+
+def test_replays_and_overtaken_reports_are_dropped_but_not_other_messages():
+    guard = ReplayGuard()
+    router, first, second = RouterId("r1"), Incarnation(1), Incarnation(2)
+    assert guard.is_fresh(router, first, 5, is_report=True)
+    assert not guard.is_fresh(router, first, 5, is_report=True)
+    assert not guard.is_fresh(router, first, 4, is_report=True)
+    assert guard.is_fresh(router, first, 4, is_report=False)
+    assert not guard.is_fresh(router, first, 4, is_report=False)
+    assert guard.is_fresh(router, second, 1, is_report=True)
+    assert not guard.is_fresh(router, first, 9, is_report=True)
+    for sequence in range(2, 5000):
+        assert guard.is_fresh(router, second, sequence, is_report=True)
+    assert not guard.is_fresh(router, second, 3, is_report=False)
