Bound request heads in bytes and in time

Cause: the HTTP library's fast parser takes heads of any size and waits for their end for ever, so that one caller could grow a router's memory. Change: heads over 32 KiB, or that take over 20 s, are refused with 431 and the connection is closed.

--- a/src/chicorylead/http_server.py
+++ b/src/chicorylead/http_server.py
@@ -7,8 +7,16 @@
 
 import uvicorn
 from starlette.types import ASGIApp
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["HttpServer"]
+__all__ = ["MAX_HEAD_BYTES", "HttpServer"]
+
+MAX_HEAD_BYTES = 32_768
+HEAD_TIMEOUT_S = 20.0
+_HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 LISTEN_BACKLOG = 1024
 TCP_USER_TIMEOUT_MS = 30_000
@@ -17,6 +25,49 @@
 KEEP_ALIVE_COUNT = 3
 
 
+class _LimitedProtocol(HttpToolsProtocol):
+    """A connection whose request heads are bounded in bytes and in time."""
+
+    _head_bytes = 0
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        is_new = self._head_timer is None and self.cycle_is_done
+        if is_new:
+            self._head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self._refuse_head)
+        super().data_received(data)
+        if self._head_timer is None:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._refuse_head()
+
+    @property
+    def cycle_is_done(self) -> bool:
+        """Tell whether the next bytes begin a request."""
+        return self.cycle is None or self.cycle.response_complete
+
+    def on_headers_complete(self) -> None:
+        self._end_head()
+        super().on_headers_complete()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end_head()
+        super().connection_lost(exc)
+
+    def _end_head(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+        self._head_timer = None
+        self._head_bytes = 0
+
+    def _refuse_head(self) -> None:
+        self._end_head()
+        if not self.transport.is_closing():
+            self.transport.write(_HEAD_TOO_LARGE)
+            self.transport.close()
+
+
 class _Server(uvicorn.Server):
     """A server that leaves signals to the process that embeds it."""
 
@@ -69,7 +120,7 @@
             log_level="critical",
             access_log=False,
             lifespan="off",
-            http="httptools",
+            http=_LimitedProtocol,
             ws="none",
             backlog=LISTEN_BACKLOG,
             limit_concurrency=n_connections,
