--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -100,6 +100,7 @@
         is_engine = record is not None and record.type is ServiceType.ENGINE
         prior = PRIOR_TOKENS if is_engine else PRIOR_PLAIN_MS
         queue = FairPool(service, self._mode)
+        queue.on_queued = lambda: self.on_demand()
         pool = ServicePool(queue, upstreams, CostModel(prior))
         self._pools[service] = pool
         return pool
@@ -311,17 +312,10 @@
         limits = self._limits
         max_waiting = max(limits.queue_min, int(limits.queue_per_share * req.share))
         started = self._clock()
-        waiting = asyncio.ensure_future(
-            pool.queue.acquire(
+        try:
+            ticket = await pool.queue.acquire(
                 req.organisation, req.share, length, req.deadline, max_waiting
             )
-        )
-        self.on_demand()
-        try:
-            ticket = await waiting
-        except asyncio.CancelledError:
-            waiting.cancel()
-            raise
         except Refusal:
             self._metrics.count("queue.refused")
             raise
--- a/src/chicorylead/sharing/pool.py
+++ b/src/chicorylead/sharing/pool.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from math import ceil, floor, inf
@@ -136,7 +137,7 @@
         ledger: Service received by each organisation.
         fleet: What is known of the whole fleet.
         n_in_flight: Requests that hold a slot here.
-        changed: Set when demand changed since the last report.
+        on_queued: Called after a request was queued, and granted if it could be.
     """
 
     def __init__(self, service: ServiceName, mode: SharingMode) -> None:
@@ -146,6 +147,7 @@
         self.fleet = FleetState()
         self.n_in_flight = 0
         self.n_long = 0
+        self.on_queued: Callable[[], None] = lambda: None
         self._lines: dict[OrganisationId, _Line] = {}
         self._clock = asyncio.get_running_loop().time
         self._shares: dict[OrganisationId, float] = {}
@@ -188,6 +190,7 @@
         )
         line.add(ticket)
         self.pump()
+        self.on_queued()
         try:
             async with asyncio.timeout_at(deadline):
                 await fut
--- a/src/chicorylead/upstream/pool.py
+++ b/src/chicorylead/upstream/pool.py
@@ -138,10 +138,9 @@
             opened = usable
         if not opened:
             return None
-        order = sorted(
+        best = min(
             opened, key=lambda s: (self._expected_s(s, expected_cost), s.n_served)
         )
-        best = order[0]
         return self._with_prefix(prefix, best, opened, expected_cost)
 
     def _with_prefix(
--- a/tests/integration/test_pairs.py
+++ b/tests/integration/test_pairs.py
@@ -128,3 +128,48 @@
         session.post(url, data=text.encode(), headers={**auth, **headers}) as resp,
     ):
         return await resp.json()
+
+
+def test_one_organisation_cannot_read_send_or_cancel_as_another():
+    async def body(fleet):
+        path = publish_path(fleet)
+        mine = {"marker": "m/0", "edition": "e1"}
+        other = {"marker": "m/1", "edition": "e1"}
+        assert (await send(fleet, "router-0", path, mine)).status == 200
+        # The same key of another organisation is another key.
+        answer = await send(fleet, "router-0", path, other, organisation=1)
+        assert answer.status == 200
+        assert await runs(fleet, "m/1") == 1
+        owner, stranger = fleet.profile.organisations[:2]
+        page = f"/v2/outcomes/{fleet.profile.plain_service}/e2"
+        keyed = {"marker": "m/2", "edition": "e2"}
+        assert (await send(fleet, "router-0", path, keyed)).status == 200
+        assert (await _call(fleet, "GET", owner, page))["state"] == "answered"
+        assert (await _call(fleet, "GET", stranger, page))["error"] == "not_found"
+        running = asyncio.create_task(_named(fleet, owner, "abc1"))
+        await asyncio.sleep(0.5)
+        target = "/v2/requests/abc1"
+        assert (await _call(fleet, "DELETE", stranger, target))["error"] == "not_found"
+        assert not running.done()
+        assert (await _call(fleet, "DELETE", owner, target))["cancelled"] == "abc1"
+        assert (await running)["error"] == "caller_gone"
+
+    run(body)
+
+
+async def _call(fleet, method, plan, path):
+    from aiohttp import ClientSession, encode_basic_auth
+
+    headers = {"Authorization": encode_basic_auth(plan.name, plan.token)}
+    url = f"http://{fleet.routers['router-0'].address}{path}"
+    async with (
+        ClientSession() as session,
+        session.request(method, url, headers=headers) as resp,
+    ):
+        return await resp.json()
+
+
+async def _named(fleet, plan, request_id):
+    headers = {"Chicorylead-Request-Id": request_id}
+    text = '{"n_tokens": 2000}'
+    return await _post(fleet, plan, check_path(fleet), text, headers)
