Keep the engines' queues short and slow down those that had their share

Cause: refusals followed a queue of half the shortest objective, in which all answers were late; 98 of 100 refusals were also taken for callers that came back, since deadlines of first attempts differ by a seventh, so that nobody's demand was counted. Ruled out: wrong predictions (median of actual to expected 0.8). Change: 0.15 of the shortest objective, 0.4 of that beyond an organisation's share; only a deadline that is shorter by more than a seventh shows a second attempt.

--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -15,17 +15,17 @@
 
 # Engines are busy while anything waits; a longer queue only makes answers late.
 # Part of the shortest objective that a request may wait before it is read.
-QUEUE_SHARE = 0.5
+QUEUE_SHARE = 0.15
 # An organisation that has had its share leaves this part of the queue to others.
-QUEUE_BEYOND_SHARE = 0.3
+QUEUE_BEYOND_SHARE = 0.4
 STANDING_MET = 0.8  # from here to its whole share an organisation is slowed down
 STANDING_BEYOND = 1.2
-# A caller that was refused before has no further try.
-QUEUE_RETURNED = 1.2
+# A caller that was refused before has no further try, but can rarely be in time.
+QUEUE_RETURNED = 1.0
 RETURN_MIN_S = 0.1  # several round trips, so that something has changed by then
 RETURN_MAX_S = 4.0  # callers honour a third of the time that they have left
 RETURN_SPREAD = 0.5  # callers refused together come back spread over this part
-RETURN_OVERLOAD_S = 3.0  # a crest of demand lasts for some seconds
+RETURN_OVERLOAD_S = 0.0  # a crest of demand lasts for some seconds
 OVERLOAD_MIN = 1.2  # demand over throughput; below it a clump is over in a moment
 
 
@@ -79,7 +79,7 @@
 def _limit_s(demand: Demand) -> float:
     share = QUEUE_SHARE * demand.shortest_objective_s
     if demand.waited_s > 0.0:
-        return QUEUE_RETURNED * share
+        share *= QUEUE_RETURNED
     beyond = (demand.standing - STANDING_MET) / (STANDING_BEYOND - STANDING_MET)
     beyond = min(max(beyond, 0.0), 1.0)
     return share * (1.0 - beyond * (1.0 - QUEUE_BEYOND_SHARE))
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -22,6 +22,7 @@
 from chicorylead.outcome.poison import PoisonList, fingerprint_of
 from chicorylead.traffic.model import Repeat
 from chicorylead.traffic.request import ForwardRequest
+from chicorylead.upstream.answer import AnswerHead
 from chicorylead.upstream.connection import Failure, FailureKind, open_connection
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
@@ -385,7 +386,11 @@
             organisation=req.organisation,
             upstream=placement.upstream.id,
             send=progress.n_sends,
+            waited_s=req.waited_s,
+            queue_s=placement.queue_s,
             expected_s=placement.wait_s,
+            unread=placement.work.unread_tokens,
+            load=_load(sender.head),
             first_event_s=sender.first_event_s,
             took_s=self._clock() - started,
             outcome=type(outcome).__name__,
@@ -393,6 +398,14 @@
         )
 
 
+def _load(head: AnswerHead | None) -> str:
+    """Return running, waiting and slowness as the upstream stated them."""
+    if head is None or head.load is None:
+        return "-"
+    load = head.load
+    return f"{load.n_running}/{load.n_waiting}/{load.slowness:.2f}"
+
+
 def _detail(outcome: Served | NotRun | Rejected | Broken) -> str:
     match outcome:
         case Served(status=status) | Rejected(status=status):
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -19,7 +19,8 @@
 
 __all__ = ["Ingress"]
 
-DEADLINE_SLACK_S = 0.02  # callers count from a moment before they send
+# Callers' deadlines differ by a seventh; only a shorter one shows a second attempt.
+DEADLINE_SPREAD = 0.15
 DRAIN_RETRY_S = 0.05  # another router takes the request at once
 
 
@@ -153,9 +154,7 @@
         full_s = self._full_deadlines.get(operation.name, 0.0)
         if head.deadline_s > full_s:
             self._full_deadlines[operation.name] = full_s = head.deadline_s
-        waited_s = full_s - head.deadline_s
-        if waited_s < DEADLINE_SLACK_S:
-            waited_s = 0.0
+        waited_s = max(0.0, (1.0 - DEADLINE_SPREAD) * full_s - head.deadline_s)
         return arrived_at + min(head.deadline_s, operation.timeout_s), waited_s
 
     # -- forwarding
