Estimate engines' backlogs between answers and tell sends at once

Cause: a prompt counted as unread until its first event and peers' sends until the next beacon, so that engines looked busy or idle by turns. Change: backlog that shrinks at the measured rate and is corrected by first events; totals of sends in datagrams within milliseconds.

--- a/src/chicorylead/admission/cost.py
+++ b/src/chicorylead/admission/cost.py
@@ -27,7 +27,6 @@
     if prompt is None or prefixes is None:
         return Work(n_requests=1)
     return Work(
-        unread_tokens=float(prefixes.missing_tokens(prompt)),
         held_tokens=prompt.n_tokens + expected_output_tokens(prompt),
         n_requests=1,
     )
--- a/src/chicorylead/admission/placement.py
+++ b/src/chicorylead/admission/placement.py
@@ -32,6 +32,7 @@
 
     Attributes:
         work: Work of the request there.
+        unread_tokens: Tokens of its prompt that the upstream has to read.
         queue_s: Expected time until the upstream turns to the request, seconds.
         wait_s: Expected time to the first event, or to the answer, seconds.
         has_room: Whether it can start to run the request at once.
@@ -39,20 +40,31 @@
 
     upstream: LiveUpstream
     work: Work
+    unread_tokens: float
     queue_s: float
     wait_s: float
     has_room: bool
 
 
 def place(
-    candidates: Iterable[LiveUpstream], prompt: Prompt | None, speed: ServiceSpeed
+    candidates: Iterable[LiveUpstream],
+    prompt: Prompt | None,
+    speed: ServiceSpeed,
+    now: float,
 ) -> Placement | None:
-    """Return the best upstream for a request, or None if there is no candidate."""
+    """Return the best upstream for a request, or None if there is no candidate.
+
+    Args:
+        candidates: Upstreams that may get it.
+        prompt: The prompt; None for a plain request.
+        speed: Speeds of the service.
+        now: Event-loop time, seconds.
+    """
     best: Placement | None = None
     best_price = float("inf")
     home = _home_key(prompt)
     for upstream in candidates:
-        placement = _at(upstream, prompt, speed)
+        placement = _at(upstream, prompt, speed, now)
         price = _price(placement, home, speed)
         if price < best_price:
             best, best_price = placement, price
@@ -60,7 +72,7 @@
 
 
 def _at(
-    upstream: LiveUpstream, prompt: Prompt | None, speed: ServiceSpeed
+    upstream: LiveUpstream, prompt: Prompt | None, speed: ServiceSpeed, now: float
 ) -> Placement:
     work = expected_work(prompt, upstream.prefixes)
     there = upstream.work.total()
@@ -68,16 +80,16 @@
     if upstream.prefixes is None:
         one_s = speed.answer_s * upstream.slowness
         queue_s = one_s * max(0, there.n_requests + 1 - n_slots) / n_slots
-        return Placement(upstream, work, queue_s, queue_s + one_s, has_room=True)
-    token_s = upstream.slowness / speed.read_tokens_per_s
-    queue_s = there.unread_tokens * token_s
-    reading_s = work.unread_tokens * token_s
+        return Placement(upstream, work, 0.0, queue_s, queue_s + one_s, has_room=True)
+    queue_s = upstream.backlog.wait_s(now)
+    unread = float(upstream.prefixes.missing_tokens(prompt)) if prompt else 0.0
+    reading_s = unread / upstream.backlog.tokens_per_s
     memory = MEMORY_SHARE * upstream.prefixes.memory_tokens
     has_room = (
         there.n_requests < n_slots and there.held_tokens + work.held_tokens <= memory
     )
     wait_s = queue_s + reading_s + speed.first_event_s
-    return Placement(upstream, work, queue_s, wait_s, has_room)
+    return Placement(upstream, work, unread, queue_s, wait_s, has_room)
 
 
 def _price(placement: Placement, home: str, speed: ServiceSpeed) -> float:
@@ -86,7 +98,7 @@
     if not placement.has_room:
         price += FULL_WEIGHT_S
     if upstream.prefixes is not None:
-        reading_s = placement.work.unread_tokens / speed.read_tokens_per_s
+        reading_s = placement.unread_tokens / upstream.backlog.tokens_per_s
         price += (READING_WEIGHT - 1.0) * reading_s
         # All routers prefer the same engine for a part that none has sent yet.
         price += HOME_BIAS_S * _distance(home, upstream.id)
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -21,7 +21,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
-from chicorylead.peer.beacon import Beacon, BeaconLink, UsageReport, WorkReport
+from chicorylead.peer.beacon import Beacon, BeaconLink, Sends, UsageReport, WorkReport
 from chicorylead.platform.configuration import decode_configuration
 from chicorylead.platform.registry import decode_upstream
 from chicorylead.platform.store import StoreClient
@@ -86,10 +86,13 @@
         self._shares = FairShare(cfg.bounds.share_window_s, self._clock)
         self._poison = PoisonList(rng)
         self._link = BeaconLink(
+            cfg.id,
+            incarnation,
             cfg.peers,
             cfg.seeds,
             self._make_beacon,
             self._on_beacon,
+            self._on_sends,
             self._on_silent,
             self.log,
             self._metrics,
@@ -106,6 +109,7 @@
             cfg.bounds,
             self._tokens_per_s,
             self._shortest_objective_s,
+            self._link.note_sent,
             lambda: 1 + len(self._link.live()),
             self.log,
             self._metrics,
@@ -263,10 +267,12 @@
     def _make_beacon(self, sequence: int, peers: list[str]) -> Beacon:
         work = [
             WorkReport(
-                u.id, u.work.own.unread_tokens, u.work.own.held_tokens, n_requests
+                u.id,
+                u.backlog.own_total,
+                u.work.own.held_tokens,
+                u.work.own.n_requests,
             )
             for u in self._registry.all()
-            if (n_requests := u.work.own.n_requests) > 0
         ]
         usage = [
             UsageReport(name, used.asked, used.admitted)
@@ -289,12 +295,14 @@
         )
 
     def _on_beacon(self, beacon: Beacon) -> None:
+        now = self._clock()
         told = {report.upstream: report for report in beacon.work}
         for upstream in self._registry.all():
             report = told.get(upstream.id)
             work = NO_WORK
             if report is not None:
-                work = Work(report.unread_tokens, report.held_tokens, report.n_requests)
+                work = Work(report.held_tokens, report.n_requests)
+                upstream.backlog.note_peer_total(beacon.id, report.sent_tokens, now)
             upstream.work.note_peer(beacon.id, work)
         self._shares.note_peer(
             beacon.id,
@@ -309,6 +317,13 @@
                     "suspect_told", peer=beacon.id, fingerprint=notice.fingerprint
                 )
 
+    def _on_sends(self, sends: Sends) -> None:
+        now = self._clock()
+        for name, total in sends.totals:
+            upstream = self._registry.get(UpstreamId(name))
+            if upstream is not None:
+                upstream.backlog.note_peer_total(sends.id, total, now)
+
     def _on_silent(self, beacon: Beacon) -> None:
         """Forget the work of a peer, which ends with its connections."""
         for report in beacon.work:
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -61,6 +61,7 @@
         bounds: Budget of repeated sends.
         tokens_per_s: Returns the throughput of all engines, tokens/s.
         shortest_objective_s: Returns the shortest objective of a service, seconds.
+        on_sent: Called with an engine and the tokens ever sent to it.
         n_routers: Returns the number of routers that share budgets.
     """
 
@@ -72,6 +73,7 @@
         bounds: Bounds,
         tokens_per_s: Callable[[], float | None],
         shortest_objective_s: Callable[[ServiceName], float],
+        on_sent: Callable[[UpstreamId, float], None],
         n_routers: Callable[[], int],
         log: EventLog,
         metrics: Metrics,
@@ -83,6 +85,7 @@
         self._bounds = bounds
         self._tokens_per_s = tokens_per_s
         self._shortest_objective_s = shortest_objective_s
+        self._on_sent = on_sent
         self._n_routers = n_routers
         self._log = log
         self._metrics = metrics
@@ -142,7 +145,9 @@
 
     def _admit(self, req: ForwardRequest) -> Placement:
         candidates = self._candidates(req.service, set())
-        placement = place(candidates, req.head.prompt, self._speed(req.service))
+        placement = place(
+            candidates, req.head.prompt, self._speed(req.service), self._clock()
+        )
         if placement is None:
             raise Refusal(
                 ErrorKind.NO_UPSTREAM,
@@ -198,7 +203,9 @@
         candidates = self._candidates(req.service, progress.excluded)
         if not candidates:
             candidates = self._candidates(req.service, set())
-        placement = place(candidates, req.head.prompt, self._speed(req.service))
+        placement = place(
+            candidates, req.head.prompt, self._speed(req.service), self._clock()
+        )
         if placement is None:
             raise self._end(progress, ErrorKind.NO_UPSTREAM, "no upstream is left")
         return placement
@@ -230,6 +237,7 @@
             reply,
             first_s,
             event_s,
+            self._on_sent,
         )
         progress.n_sends += 1
         started = self._clock()
@@ -389,7 +397,7 @@
             waited_s=req.waited_s,
             queue_s=placement.queue_s,
             expected_s=placement.wait_s,
-            unread=placement.work.unread_tokens,
+            unread=placement.unread_tokens,
             load=_load(sender.head),
             first_event_s=sender.first_event_s,
             took_s=self._clock() - started,
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -1,17 +1,19 @@
 """One send of a request to one upstream, and the accounts of its work."""
 
 import asyncio
+from collections.abc import Callable
 
 from chicorylead.admission.placement import Placement
 from chicorylead.admission.speed import ServiceSpeed
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, SendOutcome, Served
 from chicorylead.gateway.reply import CallerReply
+from chicorylead.ids import UpstreamId
 from chicorylead.platform.upstream_wire import encode_request
 from chicorylead.traffic.request import ForwardRequest
 from chicorylead.upstream.answer import AnswerHead
+from chicorylead.upstream.backlog import Marker
 from chicorylead.upstream.connection import Connection, Failure, FailureKind
 from chicorylead.upstream.events import EventSplitter, StreamGap
-from chicorylead.upstream.work import Work
 
 __all__ = ["Sender"]
 
@@ -32,6 +34,7 @@
         reply: The caller's answer.
         first_timeout_s: Longest wait for the first part, seconds.
         event_timeout_s: Longest wait between parts, seconds.
+        on_sent: Called with an engine and the tokens ever sent to it.
     """
 
     def __init__(
@@ -43,18 +46,20 @@
         reply: CallerReply,
         first_timeout_s: float,
         event_timeout_s: float,
+        on_sent: Callable[[UpstreamId, float], None],
     ) -> None:
         self._req = req
         self._upstream = placement.upstream
-        self._work = placement.work
+        self._placement = placement
+        self._marker: Marker | None = None
         self._speed = speed
         self._events = events
         self._reply = reply
         self._first_timeout_s = first_timeout_s
         self._event_timeout_s = event_timeout_s
+        self._on_sent = on_sent
         self._clock = asyncio.get_running_loop().time
         self._sent_at = 0.0
-        self._unread_before = 0.0
         self.first_event_s: float | None = None
         self.head: AnswerHead | None = None
 
@@ -83,21 +88,22 @@
     # -- work
 
     def _take_work(self) -> None:
-        ledger = self._upstream.work
-        ledger.own = ledger.own + self._work
-        self._unread_before = ledger.total().unread_tokens
-        self._upstream.note_sent()
-        if self._upstream.prefixes is not None and self._req.head.prompt is not None:
-            self._upstream.prefixes.note_sent(self._req.head.prompt)
-
-    def _note_read(self) -> None:
-        """Note that the prompt was read."""
-        unread = Work(unread_tokens=self._work.unread_tokens)
-        self._upstream.work.own = self._upstream.work.own - unread
-        self._work = self._work - unread
+        upstream = self._upstream
+        upstream.work.own = upstream.work.own + self._placement.work
+        upstream.note_sent()
+        if upstream.prefixes is None or self._req.head.prompt is None:
+            return
+        self._marker = upstream.backlog.add(
+            self._placement.unread_tokens, self._clock()
+        )
+        self._on_sent(upstream.id, upstream.backlog.own_total)
+        upstream.prefixes.note_sent(self._req.head.prompt)
 
     def _give_work_back(self) -> None:
-        self._upstream.work.own = self._upstream.work.own - self._work
+        upstream = self._upstream
+        upstream.work.own = upstream.work.own - self._placement.work
+        if self._marker is not None:
+            upstream.backlog.forget(self._marker)
 
     # -- exchange
 
@@ -169,6 +175,8 @@
 
     def _note_first_event(self, head: AnswerHead) -> None:
         self.first_event_s = self._clock() - self._sent_at
-        self._speed.note_first_event(self._unread_before, self.first_event_s)
-        self._note_read()
+        expected_s = self._placement.wait_s - self._speed.first_event_s
+        self._speed.note_first_event(self.first_event_s - expected_s)
+        if self._marker is not None:
+            self._upstream.backlog.note_first_event(self._marker, self._clock())
         self._upstream.note_answer(head.load)
--- a/src/chicorylead/peer/beacon.py
+++ b/src/chicorylead/peer/beacon.py
@@ -1,8 +1,10 @@
 """Datagrams in which routers tell each other their state.
 
-Each datagram holds the whole state of its sender, so that lost, repeated and late
-ones do no harm: the newest of a sender's incarnation holds. No connection can go
-silent unnoticed, and a router that is cut off or frozen is missed within a second.
+A beacon holds the whole state of its sender, so that lost, repeated and late ones
+do no harm: the newest of a sender's incarnation holds. No connection can go silent
+unnoticed, and a router that is cut off or frozen is missed within a second. Between
+beacons, totals of what was sent to engines go out within milliseconds: routers that
+learn of each other's sends only with the next beacon all fill the same engine.
 """
 
 import asyncio
@@ -17,7 +19,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 
-__all__ = ["Beacon", "BeaconLink", "Peer", "UsageReport", "WorkReport"]
+__all__ = ["Beacon", "BeaconLink", "Peer", "Sends", "UsageReport", "WorkReport"]
 
 PERIOD_S = 0.1  # a quarter of the shortest usual objective
 PERIOD_PER_PEER_S = 0.0125  # keeps the messages a second bounded in larger fleets
@@ -26,14 +28,19 @@
 SILENCE_MIN_S = 0.7  # a caller that meets a dead address loses up to a second
 PROBE_S = 1.0  # a router that returns is heard of within a second
 FORGET_S = 120.0  # of the order of the time for which a VM is replaced
+SENDS_DELAY_PER_PEER_S = 0.001  # joins the sends of some milliseconds
 MAX_DATAGRAM_BYTES = 60_000  # below the limit of UDP
 
 
 class WorkReport(Struct, frozen=True, array_like=True):
-    """Work that the sender has at one upstream."""
+    """Work that the sender has at one upstream.
+
+    Attributes:
+        sent_tokens: Prompt tokens that it ever sent there.
+    """
 
     upstream: str
-    unread_tokens: float
+    sent_tokens: float
     held_tokens: float
     n_requests: int
 
@@ -46,7 +53,15 @@
     admitted: float
 
 
-class Beacon(Struct, frozen=True, array_like=True):
+class Sends(Struct, frozen=True, array_like=True, tag="s"):
+    """Prompt tokens that a router ever sent to some upstreams."""
+
+    id: str
+    incarnation: int
+    totals: list[tuple[str, float]]
+
+
+class Beacon(Struct, frozen=True, array_like=True, tag="b"):
     """State of a router.
 
     Attributes:
@@ -113,27 +128,36 @@
     """Send the own state to all peers, and take in theirs.
 
     Args:
+        router: Id of this router.
+        incarnation: Another number at each start.
         address: Where datagrams are received; peers use the same port.
         seeds: IP numbers of some routers.
         make: Makes the own state from a sequence number and the known peers.
         on_beacon: Called with each newer state of a peer.
+        on_sends: Called with totals of a live peer.
         on_silent: Called with a peer that is no longer heard.
     """
 
     def __init__(
         self,
+        router: str,
+        incarnation: int,
         address: tuple[str, int],
         seeds: tuple[str, ...],
         make: Callable[[int, list[str]], Beacon],
         on_beacon: Callable[[Beacon], None],
+        on_sends: Callable[[Sends], None],
         on_silent: Callable[[Beacon], None],
         log: EventLog,
         metrics: Metrics,
         rng: Random,
     ) -> None:
+        self._id = router
+        self._incarnation = incarnation
         self._address = address
         self._make = make
         self._on_beacon = on_beacon
+        self._on_sends = on_sends
         self._on_silent = on_silent
         self._log = log
         self._metrics = metrics
@@ -143,8 +167,9 @@
         self._hosts: dict[str, float] = dict.fromkeys(seeds, 0.0)
         self._peers: dict[str, Peer] = {}
         self._sequence = 0
+        self._new_totals: dict[str, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Beacon)
+        self._decoder = msgspec.msgpack.Decoder(Beacon | Sends)
 
     def live(self) -> list[Peer]:
         """Return the peers that were heard lately."""
@@ -195,6 +220,20 @@
                 self._hosts[host] = now
             self._send_to(host, data)
 
+    def note_sent(self, upstream: str, total: float) -> None:
+        """Tell live peers soon how much was ever sent to an upstream."""
+        if not self._new_totals:
+            delay_s = SENDS_DELAY_PER_PEER_S * len(self._peers)
+            self._loop.call_later(delay_s, self._send_totals)
+        self._new_totals[upstream] = total
+
+    def _send_totals(self) -> None:
+        totals = list(self._new_totals.items())
+        self._new_totals.clear()
+        data = self._encoder.encode(Sends(self._id, self._incarnation, totals))
+        for peer in self.live():
+            self._send_to(peer.beacon.host, data)
+
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -208,14 +247,28 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in a peer's state."""
+        """Take in what a peer tells."""
         try:
-            beacon = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.DecodeError as exc:
             self._metrics.count("beacon.malformed")
             self._log.warning("beacon_malformed", sender=addr[0], reason=exc)
             return
-        if beacon.host != addr[0] or beacon.host == self._address[0]:
+        match message:
+            case Beacon():
+                self._take_beacon(message, addr[0])
+            case Sends():
+                self._take_sends(message)
+
+    def _take_sends(self, sends: Sends) -> None:
+        peer = self._peers.get(sends.id)
+        if peer is None or not peer.is_live:
+            return
+        if peer.beacon.incarnation == sends.incarnation:
+            self._on_sends(sends)
+
+    def _take_beacon(self, beacon: Beacon, sender: str) -> None:
+        if beacon.host != sender or beacon.host == self._address[0]:
             return
         known = self._peers.get(beacon.id)
         if known is not None and not known.is_newer(beacon):
--- /dev/null
+++ b/src/chicorylead/upstream/backlog.py
@@ -0,0 +1,128 @@
+"""Prompt tokens that an engine has still to read, estimated between its answers.
+
+Load pattern: several routers fill the same engines at a load near capacity. A
+first event tells that all that was sent before it has been read; until then the
+backlog shrinks at the rate at which the engine reads. Without that, routers see an
+engine as busy until the next answer or datagram and leave it idle meanwhile. The
+rate depends on what the engine generates beside; it is measured from one first
+event to the next while the engine has something to read.
+"""
+
+import math
+from collections import OrderedDict
+from typing import NewType
+
+__all__ = ["Marker", "ReadingBacklog"]
+
+Marker = NewType("Marker", int)
+
+TOKENS_PER_S = 40_000.0  # a large engine that also generates; until measured
+PRIOR_S = 0.3  # weight of that figure, as time of observation
+MEMORY_S = 2.0  # demand and neighbours change the rate within seconds
+MIN_TOKENS_PER_S = 2_000.0  # bounds what a stalled engine makes of the estimate
+MAX_TOKENS_PER_S = 1_000_000.0  # beyond any engine
+
+
+class _ReadingRate:
+    """Rate at which one engine reads, over the last seconds in which it was busy."""
+
+    def __init__(self) -> None:
+        self._tokens = TOKENS_PER_S * PRIOR_S
+        self._seconds = PRIOR_S
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Return the rate, tokens/s."""
+        rate = self._tokens / self._seconds
+        return min(max(rate, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
+
+    def note(self, tokens: float, seconds: float) -> None:
+        """Take in tokens that were read within a time."""
+        kept = math.exp(-seconds / MEMORY_S)
+        self._tokens = kept * self._tokens + tokens
+        self._seconds = kept * self._seconds + seconds
+
+
+class ReadingBacklog:
+    """Backlog of one engine, filled by this router and by its peers.
+
+    Engines read in order of arrival.
+
+    Attributes:
+        own_total: Tokens that this router ever sent to the engine.
+    """
+
+    def __init__(self) -> None:
+        self.own_total = 0.0
+        self._added = 0.0
+        self._backlog = 0.0
+        self._at = 0.0
+        self._n_markers = 0
+        self._pending: OrderedDict[Marker, tuple[float, float]] = OrderedDict()
+        self._peer_totals: dict[str, float] = {}
+        self._rate = _ReadingRate()
+        self._last_read = 0.0
+        self._last_read_at = -math.inf
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Return the rate at which the engine reads, tokens/s."""
+        return self._rate.tokens_per_s
+
+    def add(self, tokens: float, now: float) -> Marker:
+        """Add a prompt that this router sends."""
+        self._drain(now)
+        self.own_total += tokens
+        self._add(tokens)
+        self._n_markers += 1
+        marker = Marker(self._n_markers)
+        self._pending[marker] = (self._added, now)
+        return marker
+
+    def note_peer_total(self, peer: str, total: float, now: float) -> None:
+        """Take in how much a peer ever sent to the engine."""
+        known = self._peer_totals.get(peer)
+        self._peer_totals[peer] = total
+        if known is None or total == known:
+            return
+        self._drain(now)
+        # A counter that fell began anew.
+        self._add(total - known if total > known else total)
+
+    def note_first_event(self, marker: Marker, now: float) -> None:
+        """Note that a prompt was read, and with it all that was sent before."""
+        found = self._pending.pop(marker, None)
+        if found is None:
+            return
+        read, sent_at = found
+        self._drain(now)
+        self._backlog = min(self._backlog, self._added - read)
+        if sent_at <= self._last_read_at and read >= self._last_read:
+            # The prompt waited already when the one before was read.
+            self._rate.note(read - self._last_read, now - self._last_read_at)
+        self._last_read = read
+        self._last_read_at = now
+
+    def forget(self, marker: Marker) -> None:
+        """Note that a request ended without a first event."""
+        self._pending.pop(marker, None)
+
+    def tokens(self, now: float) -> float:
+        """Return the estimated backlog, tokens."""
+        self._drain(now)
+        return self._backlog
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until the engine has read its backlog, seconds."""
+        return self.tokens(now) / self.tokens_per_s
+
+    def _add(self, tokens: float) -> None:
+        self._added += tokens
+        self._backlog += tokens
+
+    def _drain(self, now: float) -> None:
+        self._backlog -= (now - self._at) * self.tokens_per_s
+        self._at = now
+        # What was sent after a prompt without its first event is not read yet.
+        oldest = next(iter(self._pending.values()), (self._added, now))
+        self._backlog = max(self._backlog, self._added - oldest[0], 0.0)
--- a/src/chicorylead/upstream/live.py
+++ b/src/chicorylead/upstream/live.py
@@ -5,6 +5,7 @@
 
 from chicorylead.ids import UpstreamId
 from chicorylead.upstream.answer import UpstreamLoad
+from chicorylead.upstream.backlog import ReadingBacklog
 from chicorylead.upstream.connection import Connection, DecodeHead, open_connection
 from chicorylead.upstream.prefix_memory import PrefixMemory
 from chicorylead.upstream.registered import RegisteredUpstream
@@ -31,6 +32,7 @@
 
     Attributes:
         work: Work in flight there.
+        backlog: Prompt tokens that it has still to read.
         prefixes: What it probably keeps of prompts; None for a plain service.
         failure_rate: Smoothed part of exchanges that failed, 0 to 1.
         slowness: Time that work takes there, relative to the usual.
@@ -42,6 +44,7 @@
     ) -> None:
         self.entry = entry
         self.work = WorkLedger()
+        self.backlog = ReadingBacklog()
         self.prefixes = PrefixMemory(memory_tokens) if memory_tokens else None
         self.failure_rate = 0.0
         self.slowness = 1.0
--- a/src/chicorylead/upstream/work.py
+++ b/src/chicorylead/upstream/work.py
@@ -10,25 +10,21 @@
     """Work of some requests at one upstream.
 
     Attributes:
-        unread_tokens: Prompt tokens that are still to be read.
         held_tokens: Tokens that running requests will hold in memory.
         n_requests: Requests in flight.
     """
 
-    unread_tokens: float = 0.0
     held_tokens: float = 0.0
     n_requests: int = 0
 
     def __add__(self, other: "Work") -> "Work":
         return Work(
-            self.unread_tokens + other.unread_tokens,
             self.held_tokens + other.held_tokens,
             self.n_requests + other.n_requests,
         )
 
     def __sub__(self, other: "Work") -> "Work":
         return Work(
-            max(0.0, self.unread_tokens - other.unread_tokens),
             max(0.0, self.held_tokens - other.held_tokens),
             max(0, self.n_requests - other.n_requests),
         )
@@ -51,7 +47,7 @@
 
     def note_peer(self, peer: str, work: Work) -> None:
         """Replace what a peer has there."""
-        if work.n_requests == 0 and work.unread_tokens == 0:
+        if work.n_requests == 0:
             if self._peers.pop(peer, None) is None:
                 return
         else:
