--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -400,6 +400,7 @@
             unread=placement.unread_tokens,
             load=_load(sender.head),
             first_event_s=sender.first_event_s,
+            longest_pause_s=sender.longest_pause_s,
             took_s=self._clock() - started,
             outcome=type(outcome).__name__,
             detail=_detail(outcome),
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -35,6 +35,11 @@
         first_timeout_s: Longest wait for the first part, seconds.
         event_timeout_s: Longest wait between parts, seconds.
         on_sent: Called with an engine and the tokens ever sent to it.
+
+    Attributes:
+        first_event_s: Time from the sending to the first event, seconds.
+        longest_pause_s: Longest time between two events, seconds.
+        head: Head of the answer.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         self._clock = asyncio.get_running_loop().time
         self._sent_at = 0.0
         self.first_event_s: float | None = None
+        self.longest_pause_s = 0.0
         self.head: AnswerHead | None = None
 
     async def send(self) -> SendOutcome:
@@ -151,6 +157,7 @@
 
     async def _pass_stream(self, conn: Connection, head: AnswerHead) -> SendOutcome:
         timeout_s = self._first_timeout_s
+        last_at = self._clock()
         while True:
             part = await conn.part(min(timeout_s, self._left_s()))
             if part is None:
@@ -161,8 +168,12 @@
                 raise Failure(FailureKind.GARBLED, str(exc)) from exc
             if not events:
                 continue
+            now = self._clock()
             if self.first_event_s is None:
                 self._note_first_event(head)
+            else:
+                self.longest_pause_s = max(self.longest_pause_s, now - last_at)
+            last_at = now
             if not self._reply.is_started:
                 await self._reply.start(head.status, head.headers)
             await self._reply.write(events)
