--- a/src/chicorylead/admission/placement.py
+++ b/src/chicorylead/admission/placement.py
@@ -10,9 +10,7 @@
 from dataclasses import dataclass
 
 from chicorylead.admission.cost import expected_work
-from chicorylead.admission.lanes import Lanes
 from chicorylead.admission.speed import ServiceSpeed
-from chicorylead.ids import UpstreamId
 from chicorylead.traffic.request import Prompt
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.work import Work
@@ -24,7 +22,6 @@
 READING_WEIGHT = 2.0
 FAILURE_WEIGHT_S = 1.0  # what a failure costs a caller: about an objective
 HOME_BIAS_S = 0.03  # less than reading a shared part of typical length again
-LANE_BIAS_S = 0.1  # a quarter of a usual pause; a busy lane still overflows
 FULL_WEIGHT_S = 5.0  # a full engine answers after requests that run for seconds
 MEMORY_SHARE = 0.9  # beyond it engines preempt requests in the middle of a stream
 
@@ -53,7 +50,6 @@
     candidates: Iterable[LiveUpstream],
     prompt: Prompt | None,
     speed: ServiceSpeed,
-    lanes: Lanes,
     now: float,
 ) -> Placement | None:
     """Return the best upstream for a request, or None if there is no candidate.
@@ -62,21 +58,14 @@
         candidates: Upstreams that may get it.
         prompt: The prompt; None for a plain request.
         speed: Speeds of the service.
-        lanes: Split of the engines by the length of prompts.
         now: Event-loop time, seconds.
     """
     best: Placement | None = None
     best_price = float("inf")
     home = _home_key(prompt)
-    candidates = list(candidates)
-    lane: frozenset[UpstreamId] = frozenset()
-    if prompt is not None:
-        lane = lanes.preferred(prompt, (upstream.id for upstream in candidates))
     for upstream in candidates:
         placement = _at(upstream, prompt, speed, now)
         price = _price(placement, home, speed)
-        if lane and upstream.id not in lane:
-            price += LANE_BIAS_S
         if price < best_price:
             best, best_price = placement, price
     return best
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from chicorylead.admission.cost import expected_output_tokens, service_of
+from chicorylead.admission.cost import service_of
 from chicorylead.admission.fair_share import FairShare
 from chicorylead.admission.gate import Admit, Demand, Refuse, decide
-from chicorylead.admission.lanes import Lanes
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.retry_budget import RetryBudget
 from chicorylead.admission.speed import ServiceSpeed
@@ -93,7 +92,6 @@
         self._rng = rng
         self._clock = asyncio.get_running_loop().time
         self._speeds: dict[ServiceName, ServiceSpeed] = {}
-        self._lanes: dict[ServiceName, Lanes] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
@@ -145,20 +143,11 @@
         # When all have failed the fault is elsewhere, and any is as good.
         return opened or listed
 
-    def _place(
-        self, req: ForwardRequest, candidates: list[LiveUpstream]
-    ) -> Placement | None:
-        return place(
-            candidates,
-            req.head.prompt,
-            self._speed(req.service),
-            self._lanes.setdefault(req.service, Lanes()),
-            self._clock(),
-        )
-
     def _admit(self, req: ForwardRequest) -> Placement:
         candidates = self._candidates(req.service, set())
-        placement = self._place(req, candidates)
+        placement = place(
+            candidates, req.head.prompt, self._speed(req.service), self._clock()
+        )
         if placement is None:
             raise Refusal(
                 ErrorKind.NO_UPSTREAM,
@@ -214,7 +203,9 @@
         candidates = self._candidates(req.service, progress.excluded)
         if not candidates:
             candidates = self._candidates(req.service, set())
-        placement = self._place(req, candidates)
+        placement = place(
+            candidates, req.head.prompt, self._speed(req.service), self._clock()
+        )
         if placement is None:
             raise self._end(progress, ErrorKind.NO_UPSTREAM, "no upstream is left")
         return placement
@@ -249,11 +240,6 @@
             self._on_sent,
         )
         progress.n_sends += 1
-        prompt = req.head.prompt
-        if prompt is not None:
-            self._lanes[req.service].note(
-                prompt, placement.unread_tokens, expected_output_tokens(prompt)
-            )
         started = self._clock()
         outcome = await sender.send()
         self._log_send(req, placement, progress, outcome, started, sender)
