--- a/src/chicorylead/admission/placement.py
+++ b/src/chicorylead/admission/placement.py
@@ -25,7 +25,9 @@
 HOME_BIAS_S = 0.03  # less than reading a shared part of typical length again
 # Streams wait while their engine reads; it rests after this part of the pause that
 # they may have.
-READING_SHARE = 0.75
+READING_SHARE = 100.0
+# A prompt that takes longer makes streams wait in any case, and must not starve.
+LONG_READING_SHARE = 0.25
 FULL_WEIGHT_S = 5.0  # a full engine answers after requests that run for seconds
 MEMORY_SHARE = 0.9  # beyond it engines preempt requests in the middle of a stream
 
@@ -98,7 +100,9 @@
     unread = float(upstream.prefixes.missing_tokens(prompt)) if prompt else 0.0
     reading_s = unread / upstream.backlog.tokens_per_s
     needs_rest = False
-    if busy_s > 0.0 and busy_s + queue_s + reading_s > READING_SHARE * pause_s:
+    bound_s = READING_SHARE * pause_s
+    counted_s = min(reading_s, LONG_READING_SHARE * bound_s)
+    if busy_s > 0.0 and busy_s + queue_s + counted_s > bound_s:
         needs_rest = True
         queue_s += REST_S
     memory = MEMORY_SHARE * upstream.prefixes.memory_tokens
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -36,6 +36,10 @@
 MIN_LEFT_S = 0.03  # below this no upstream can answer in time
 SUSPECT_TTL_S = 60.0  # callers of such a request come back within seconds
 CRASH_PROBE_S = 0.5  # a live upstream takes a connection within a few milliseconds
+# Part of the objective for which a request waits for room before it is refused; a
+# caller that is told so early can still be served in time elsewhere.
+HOLD_SHARE = 0.12
+HOLD_STEP_S = 0.01  # engines make room with each prompt, every few tens of ms
 NO_UPSTREAM_RETRY_S = 0.5  # upstreams that restart are listed within about a second
 
 
@@ -112,7 +116,7 @@
         tokens = service_of(req.head.prompt)
         if req.organisation is not None and req.waited_s == 0.0:
             self._shares.note(req.organisation, asked=tokens, admitted=0.0)
-        placement = self._admit(req)
+        placement = await self._admit(req)
         if req.organisation is not None:
             self._shares.note(req.organisation, asked=0.0, admitted=tokens)
         while not await self._send(req, placement, progress, reply):
@@ -154,26 +158,33 @@
             self._clock(),
         )
 
-    def _admit(self, req: ForwardRequest) -> Placement:
-        candidates = self._candidates(req.service, set())
-        placement = self._place(req, candidates)
-        if placement is None:
-            raise Refusal(
-                ErrorKind.NO_UPSTREAM,
-                f"no upstream of {req.service!r} is listed",
-                NO_UPSTREAM_RETRY_S,
-            )
-        demand = self._demand(req)
-        match decide(placement, demand, self._rng):
-            case Admit(placement=admitted):
-                return admitted
-            case Refuse() as refuse:
-                self._log_refused(req, placement, demand, refuse)
+    async def _admit(self, req: ForwardRequest) -> Placement:
+        """Return the upstream for a request; wait a little for one to have room.
+
+        Raises:
+            Refusal: No upstream can take it in time.
+        """
+        hold_until = req.arrived_at + HOLD_SHARE * req.operation.objective_s
+        while True:
+            placement = self._place(req, self._candidates(req.service, set()))
+            if placement is None:
                 raise Refusal(
-                    ErrorKind.QUEUE_FULL,
-                    f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
-                    refuse.retry_after_s,
+                    ErrorKind.NO_UPSTREAM,
+                    f"no upstream of {req.service!r} is listed",
+                    NO_UPSTREAM_RETRY_S,
                 )
+            demand = self._demand(req)
+            match decide(placement, demand, self._rng):
+                case Admit(placement=admitted):
+                    return admitted
+                case Refuse() as refuse if self._clock() + HOLD_STEP_S > hold_until:
+                    self._log_refused(req, placement, demand, refuse)
+                    raise Refusal(
+                        ErrorKind.QUEUE_FULL,
+                        f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
+                        refuse.retry_after_s,
+                    )
+            await asyncio.sleep(HOLD_STEP_S * self._rng.uniform(0.8, 1.2))
 
     def _demand(self, req: ForwardRequest) -> Demand:
         standing = 0.0
