--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -71,8 +71,7 @@
     """Return whether a request is sent to the upstream that was picked for it."""
     limit_s = _limit_s(demand)
     is_idle = placement.upstream.work.total().n_requests == 0
-    is_free = placement.has_room and not placement.needs_rest
-    if is_idle or (is_free and placement.queue_s <= limit_s):
+    if is_idle or (placement.queue_s <= limit_s and placement.has_room):
         return Admit(placement)
     return Refuse(_back_s(placement.queue_s - limit_s, demand, rng), limit_s)
 
--- a/src/chicorylead/admission/placement.py
+++ b/src/chicorylead/admission/placement.py
@@ -12,7 +12,6 @@
 from chicorylead.admission.cost import expected_work
 from chicorylead.admission.speed import ServiceSpeed
 from chicorylead.traffic.request import Prompt
-from chicorylead.upstream.backlog import REST_S
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.work import Work
 from chicorylead.vm.rendezvous import hash64
@@ -23,11 +22,6 @@
 READING_WEIGHT = 2.0
 FAILURE_WEIGHT_S = 1.0  # what a failure costs a caller: about an objective
 HOME_BIAS_S = 0.03  # less than reading a shared part of typical length again
-# Streams wait while their engine reads; it rests after this part of the pause that
-# they may have.
-READING_SHARE = 100.0
-# A prompt that takes longer makes streams wait in any case, and must not starve.
-LONG_READING_SHARE = 0.25
 FULL_WEIGHT_S = 5.0  # a full engine answers after requests that run for seconds
 MEMORY_SHARE = 0.9  # beyond it engines preempt requests in the middle of a stream
 
@@ -42,7 +36,6 @@
         queue_s: Expected time until the upstream turns to the request, seconds.
         wait_s: Expected time to the first event, or to the answer, seconds.
         has_room: Whether it can start to run the request at once.
-        needs_rest: Whether its streams would pause for too long.
     """
 
     upstream: LiveUpstream
@@ -51,14 +44,12 @@
     queue_s: float
     wait_s: float
     has_room: bool
-    needs_rest: bool = False
 
 
 def place(
     candidates: Iterable[LiveUpstream],
     prompt: Prompt | None,
     speed: ServiceSpeed,
-    pause_s: float,
     now: float,
 ) -> Placement | None:
     """Return the best upstream for a request, or None if there is no candidate.
@@ -67,14 +58,13 @@
         candidates: Upstreams that may get it.
         prompt: The prompt; None for a plain request.
         speed: Speeds of the service.
-        pause_s: Longest pause between events that the operator aims for, seconds.
         now: Event-loop time, seconds.
     """
     best: Placement | None = None
     best_price = float("inf")
     home = _home_key(prompt)
     for upstream in candidates:
-        placement = _at(upstream, prompt, speed, pause_s, now)
+        placement = _at(upstream, prompt, speed, now)
         price = _price(placement, home, speed)
         if price < best_price:
             best, best_price = placement, price
@@ -82,11 +72,7 @@
 
 
 def _at(
-    upstream: LiveUpstream,
-    prompt: Prompt | None,
-    speed: ServiceSpeed,
-    pause_s: float,
-    now: float,
+    upstream: LiveUpstream, prompt: Prompt | None, speed: ServiceSpeed, now: float
 ) -> Placement:
     work = expected_work(prompt, upstream.prefixes)
     there = upstream.work.total()
@@ -96,21 +82,14 @@
         queue_s = one_s * max(0, there.n_requests + 1 - n_slots) / n_slots
         return Placement(upstream, work, 0.0, queue_s, queue_s + one_s, has_room=True)
     queue_s = upstream.backlog.wait_s(now)
-    busy_s = upstream.backlog.busy_s(now)
     unread = float(upstream.prefixes.missing_tokens(prompt)) if prompt else 0.0
     reading_s = unread / upstream.backlog.tokens_per_s
-    needs_rest = False
-    bound_s = READING_SHARE * pause_s
-    counted_s = min(reading_s, LONG_READING_SHARE * bound_s)
-    if busy_s > 0.0 and busy_s + queue_s + counted_s > bound_s:
-        needs_rest = True
-        queue_s += REST_S
     memory = MEMORY_SHARE * upstream.prefixes.memory_tokens
     has_room = (
         there.n_requests < n_slots and there.held_tokens + work.held_tokens <= memory
     )
     wait_s = queue_s + reading_s + speed.first_event_s
-    return Placement(upstream, work, unread, queue_s, wait_s, has_room, needs_rest)
+    return Placement(upstream, work, unread, queue_s, wait_s, has_room)
 
 
 def _price(placement: Placement, home: str, speed: ServiceSpeed) -> float:
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -26,7 +26,7 @@
 from chicorylead.platform.registry import decode_upstream
 from chicorylead.platform.store import StoreClient
 from chicorylead.platform.upstream_wire import decode_answer
-from chicorylead.traffic.model import Configuration, ServiceAims
+from chicorylead.traffic.model import Configuration
 from chicorylead.traffic.stream import Stream, StreamRecord
 from chicorylead.upstream.registry import Registry
 from chicorylead.upstream.work import NO_WORK, Work
@@ -108,7 +108,7 @@
             self._poison,
             cfg.bounds,
             self._tokens_per_s,
-            self._aims,
+            self._shortest_objective_s,
             self._link.note_sent,
             lambda: 1 + len(self._link.live()),
             self.log,
@@ -254,9 +254,9 @@
         cfg = self._configuration
         return cfg.limits.tokens_per_s if cfg is not None else None
 
-    def _aims(self, service: ServiceName) -> ServiceAims:
+    def _shortest_objective_s(self, service: ServiceName) -> float:
         cfg = self._configuration
-        return cfg.aims(service) if cfg is not None else ServiceAims()
+        return cfg.shortest_objective_s(service) if cfg is not None else 0.0
 
     def _store_back_since(self) -> float:
         follower = self._followers[Stream.UPSTREAMS]
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -20,7 +20,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList, fingerprint_of
-from chicorylead.traffic.model import Repeat, ServiceAims
+from chicorylead.traffic.model import Repeat
 from chicorylead.traffic.request import ForwardRequest
 from chicorylead.upstream.answer import AnswerHead
 from chicorylead.upstream.connection import Failure, FailureKind, open_connection
@@ -36,10 +36,6 @@
 MIN_LEFT_S = 0.03  # below this no upstream can answer in time
 SUSPECT_TTL_S = 60.0  # callers of such a request come back within seconds
 CRASH_PROBE_S = 0.5  # a live upstream takes a connection within a few milliseconds
-# Part of the objective for which a request waits for room before it is refused; a
-# caller that is told so early can still be served in time elsewhere.
-HOLD_SHARE = 0.12
-HOLD_STEP_S = 0.01  # engines make room with each prompt, every few tens of ms
 NO_UPSTREAM_RETRY_S = 0.5  # upstreams that restart are listed within about a second
 
 
@@ -64,7 +60,7 @@
         poison: Requests under which upstreams crashed.
         bounds: Budget of repeated sends.
         tokens_per_s: Returns the throughput of all engines, tokens/s.
-        aims: Returns the strictest aims of the operations of a service.
+        shortest_objective_s: Returns the shortest objective of a service, seconds.
         on_sent: Called with an engine and the tokens ever sent to it.
         n_routers: Returns the number of routers that share budgets.
     """
@@ -76,7 +72,7 @@
         poison: PoisonList,
         bounds: Bounds,
         tokens_per_s: Callable[[], float | None],
-        aims: Callable[[ServiceName], ServiceAims],
+        shortest_objective_s: Callable[[ServiceName], float],
         on_sent: Callable[[UpstreamId, float], None],
         n_routers: Callable[[], int],
         log: EventLog,
@@ -88,7 +84,7 @@
         self._poison = poison
         self._bounds = bounds
         self._tokens_per_s = tokens_per_s
-        self._aims = aims
+        self._shortest_objective_s = shortest_objective_s
         self._on_sent = on_sent
         self._n_routers = n_routers
         self._log = log
@@ -116,7 +112,7 @@
         tokens = service_of(req.head.prompt)
         if req.organisation is not None and req.waited_s == 0.0:
             self._shares.note(req.organisation, asked=tokens, admitted=0.0)
-        placement = await self._admit(req)
+        placement = self._admit(req)
         if req.organisation is not None:
             self._shares.note(req.organisation, asked=0.0, admitted=tokens)
         while not await self._send(req, placement, progress, reply):
@@ -147,51 +143,35 @@
         # When all have failed the fault is elsewhere, and any is as good.
         return opened or listed
 
-    def _place(
-        self, req: ForwardRequest, candidates: list[LiveUpstream]
-    ) -> Placement | None:
-        return place(
-            candidates,
-            req.head.prompt,
-            self._speed(req.service),
-            self._aims(req.service).pause_s,
-            self._clock(),
+    def _admit(self, req: ForwardRequest) -> Placement:
+        candidates = self._candidates(req.service, set())
+        placement = place(
+            candidates, req.head.prompt, self._speed(req.service), self._clock()
         )
-
-    async def _admit(self, req: ForwardRequest) -> Placement:
-        """Return the upstream for a request; wait a little for one to have room.
-
-        Raises:
-            Refusal: No upstream can take it in time.
-        """
-        hold_until = req.arrived_at + HOLD_SHARE * req.operation.objective_s
-        while True:
-            placement = self._place(req, self._candidates(req.service, set()))
-            if placement is None:
+        if placement is None:
+            raise Refusal(
+                ErrorKind.NO_UPSTREAM,
+                f"no upstream of {req.service!r} is listed",
+                NO_UPSTREAM_RETRY_S,
+            )
+        demand = self._demand(req)
+        match decide(placement, demand, self._rng):
+            case Admit(placement=admitted):
+                return admitted
+            case Refuse() as refuse:
+                self._log_refused(req, placement, demand, refuse)
                 raise Refusal(
-                    ErrorKind.NO_UPSTREAM,
-                    f"no upstream of {req.service!r} is listed",
-                    NO_UPSTREAM_RETRY_S,
+                    ErrorKind.QUEUE_FULL,
+                    f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
+                    refuse.retry_after_s,
                 )
-            demand = self._demand(req)
-            match decide(placement, demand, self._rng):
-                case Admit(placement=admitted):
-                    return admitted
-                case Refuse() as refuse if self._clock() + HOLD_STEP_S > hold_until:
-                    self._log_refused(req, placement, demand, refuse)
-                    raise Refusal(
-                        ErrorKind.QUEUE_FULL,
-                        f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
-                        refuse.retry_after_s,
-                    )
-            await asyncio.sleep(HOLD_STEP_S * self._rng.uniform(0.8, 1.2))
 
     def _demand(self, req: ForwardRequest) -> Demand:
         standing = 0.0
         if req.organisation is not None and req.head.prompt is not None:
             standing = self._shares.standing(req.organisation, self._tokens_per_s())
         return Demand(
-            shortest_objective_s=self._aims(req.service).objective_s,
+            shortest_objective_s=self._shortest_objective_s(req.service),
             waited_s=req.waited_s,
             standing=standing,
             overload=self._shares.overload(),
@@ -223,7 +203,9 @@
         candidates = self._candidates(req.service, progress.excluded)
         if not candidates:
             candidates = self._candidates(req.service, set())
-        placement = self._place(req, candidates)
+        placement = place(
+            candidates, req.head.prompt, self._speed(req.service), self._clock()
+        )
         if placement is None:
             raise self._end(progress, ErrorKind.NO_UPSTREAM, "no upstream is left")
         return placement
--- a/src/chicorylead/platform/configuration.py
+++ b/src/chicorylead/platform/configuration.py
@@ -40,8 +40,6 @@
     timeout_ms: Positive
     # The objective: to the answer, or to the first event of a stream.
     goal_ms: Positive = 1000.0
-    # Longest pause between two events, not the time between two tokens.
-    itl_target_ms: Positive = 1000.0
     # 0 is the most urgent.
     priority: int = 0
     service: str | None = None
@@ -136,7 +134,6 @@
         is_stream=route.route_kind == "streaming",
         timeout_s=route.timeout_ms / 1000,
         objective_s=route.goal_ms / 1000,
-        pause_s=route.itl_target_ms / 1000,
         priority=route.priority,
         max_attempts=route.max_attempts,
         is_public=route.public,
--- a/src/chicorylead/traffic/model.py
+++ b/src/chicorylead/traffic/model.py
@@ -14,7 +14,6 @@
     "Organisation",
     "Repeat",
     "Service",
-    "ServiceAims",
 ]
 
 
@@ -36,8 +35,6 @@
         timeout_s: Longest time in which a caller gets its final answer, seconds.
         objective_s: Time to the answer, or to a stream's first event, that the
             operator aims for, seconds.
-        pause_s: Time between two events of a stream that the operator aims for,
-            seconds.
         max_attempts: Most upstreams that one request may be sent to.
         is_public: Whether no credential is asked for.
         has_prompt: Whether requests describe a prompt.
@@ -51,7 +48,6 @@
     is_stream: bool
     timeout_s: float
     objective_s: float
-    pause_s: float
     priority: int
     max_attempts: int
     is_public: bool
@@ -119,19 +115,6 @@
     tokens_per_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceAims:
-    """Strictest aims of the operations that share the upstreams of a service.
-
-    Attributes:
-        objective_s: Time to the answer or to the first event, seconds.
-        pause_s: Time between events, seconds.
-    """
-
-    objective_s: float = 1.0
-    pause_s: float = 1.0
-
-
 @dataclass(frozen=True)
 class Configuration:
     """One version of the configuration, with the look-ups that requests need.
@@ -148,7 +131,7 @@
     limits: CallerLimits
     _by_host: dict[str, list[Operation]] = field(init=False, repr=False)
     _by_credential: dict[str, Organisation] = field(init=False, repr=False)
-    _aims: dict[ServiceName, ServiceAims] = field(init=False, repr=False)
+    _objectives: dict[ServiceName, float] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         by_host: dict[str, list[Operation]] = {}
@@ -161,7 +144,12 @@
             for organisation in self.organisations or ()
             for credential in organisation.credentials
         }
-        object.__setattr__(self, "_aims", _strictest_aims(self.operations))
+        objectives: dict[ServiceName, float] = {}
+        for operation in self.operations:
+            for service, _ in operation.split:
+                known = objectives.get(service, operation.objective_s)
+                objectives[service] = min(known, operation.objective_s)
+        object.__setattr__(self, "_objectives", objectives)
         object.__setattr__(self, "_by_host", by_host)
         object.__setattr__(self, "_by_credential", by_credential)
 
@@ -176,22 +164,6 @@
         """Return the organisation that holds a credential."""
         return self._by_credential.get(credential)
 
-    def aims(self, service: ServiceName) -> ServiceAims:
-        """Return the strictest aims of the operations of a service."""
-        return self._aims.get(service, ServiceAims())
-
-
-def _strictest_aims(
-    operations: tuple[Operation, ...],
-) -> dict[ServiceName, ServiceAims]:
-    aims: dict[ServiceName, ServiceAims] = {}
-    for operation in operations:
-        for service, _ in operation.split:
-            known = aims.get(
-                service, ServiceAims(operation.objective_s, operation.pause_s)
-            )
-            aims[service] = ServiceAims(
-                min(known.objective_s, operation.objective_s),
-                min(known.pause_s, operation.pause_s),
-            )
-    return aims
+    def shortest_objective_s(self, service: ServiceName) -> float:
+        """Return the shortest objective of the operations of a service, seconds."""
+        return self._objectives.get(service, 1.0)
--- a/src/chicorylead/upstream/backlog.py
+++ b/src/chicorylead/upstream/backlog.py
@@ -19,8 +19,6 @@
 TOKENS_PER_S = 40_000.0  # a large engine that also generates; until measured
 PRIOR_S = 0.3  # weight of that figure, as time of observation
 MEMORY_S = 2.0  # demand and neighbours change the rate within seconds
-# An engine catches up with its streams within some steps without reading.
-REST_S = 0.04
 MIN_TOKENS_PER_S = 2_000.0  # bounds what a stalled engine makes of the estimate
 MAX_TOKENS_PER_S = 1_000_000.0  # beyond any engine
 
@@ -65,8 +63,6 @@
         self._rate = _ReadingRate()
         self._last_read = 0.0
         self._last_read_at = -math.inf
-        self._busy_since = 0.0
-        self._idle_since = -math.inf
 
     @property
     def tokens_per_s(self) -> float:
@@ -120,28 +116,13 @@
         """Return the time until the engine has read its backlog, seconds."""
         return self.tokens(now) / self.tokens_per_s
 
-    def busy_s(self, now: float) -> float:
-        """Return how long the engine has read without a rest, seconds."""
-        self._drain(now)
-        if self._is_rested(now):
-            return 0.0
-        return now - self._busy_since
-
-    def _is_rested(self, now: float) -> bool:
-        return self._backlog == 0.0 and now - self._idle_since >= REST_S
-
     def _add(self, tokens: float) -> None:
-        if self._is_rested(self._at):
-            self._busy_since = self._at
         self._added += tokens
         self._backlog += tokens
 
     def _drain(self, now: float) -> None:
-        was_busy = self._backlog > 0.0
         self._backlog -= (now - self._at) * self.tokens_per_s
         self._at = now
         # What was sent after a prompt without its first event is not read yet.
         oldest = next(iter(self._pending.values()), (self._added, now))
         self._backlog = max(self._backlog, self._added - oldest[0], 0.0)
-        if was_busy and self._backlog == 0.0:
-            self._idle_since = now
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway and its decisions, without the users' bench."""
--- /dev/null
+++ b/tests/gateway/replay.py
@@ -0,0 +1,196 @@
+"""Replays a load pattern against the decisions, in virtual time.
+
+Engines read prompts one after the other at a fixed rate; routers share what they
+know with a delay, as on the platform.
+"""
+
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from chicorylead.admission.fair_share import FairShare
+from chicorylead.admission.gate import Admit, Demand, decide
+from chicorylead.admission.placement import Placement, place
+from chicorylead.admission.speed import ServiceSpeed
+from chicorylead.ids import OrganisationId, ServiceName, UpstreamId, ZoneName
+from chicorylead.platform.upstream_wire import decode_answer
+from chicorylead.traffic.request import Prompt, PromptPart
+from chicorylead.upstream.live import LiveUpstream
+from chicorylead.upstream.registered import ListedState, RegisteredUpstream
+from chicorylead.upstream.work import Work
+
+__all__ = ["Arrival", "Replay", "prompt_of", "upstream"]
+
+READ_TOKENS_PER_S = 40_000.0
+SHARE_WINDOW_S = 4.0
+PAUSE_S = 100.0  # these replays generate nothing, so that no stream can pause
+
+Decide = Callable[[Placement, Demand, Random], object]
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request of a load pattern."""
+
+    at: float
+    organisation: str
+    prompt: Prompt
+    objective_s: float = 0.4
+
+
+@dataclass
+class Tally:
+    """What became of an organisation's requests."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+
+
+@dataclass
+class _Router:
+    upstreams: list[LiveUpstream]
+    shares: FairShare
+    speed: ServiceSpeed = field(default_factory=ServiceSpeed)
+
+
+def prompt_of(name: str, n_tokens: int, shared: str = "", n_shared: int = 0) -> Prompt:
+    """Return a prompt with one shared part and one of its own."""
+    own = PromptPart(name, n_tokens - n_shared)
+    parts = (PromptPart(shared, n_shared), own) if shared else (own,)
+    return Prompt(n_tokens, 10, 10, parts)
+
+
+def upstream(name: str, n_slots: int = 64) -> LiveUpstream:
+    """Return a live engine."""
+    entry = RegisteredUpstream(
+        UpstreamId(name),
+        ServiceName("engines"),
+        "127.0.0.1",
+        1,
+        ZoneName("a"),
+        n_slots,
+        ListedState.READY,
+        born_ms=1,
+        beat=1,
+    )
+    return LiveUpstream(entry, 500_000.0, decode_answer)
+
+
+class Replay:
+    """Play arrivals to some routers before some engines.
+
+    Args:
+        n_routers: Routers; arrivals reach them at random.
+        n_engines: Engines.
+        tell_s: Time until peers know of a send, seconds.
+        decide_on: The admission decision.
+    """
+
+    def __init__(
+        self,
+        n_routers: int = 4,
+        n_engines: int = 4,
+        tell_s: float = 0.004,
+        decide_on: Decide = decide,
+    ) -> None:
+        self._rng = Random(7)
+        self._decide = decide_on
+        self._tell_s = tell_s
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._n_events = 0
+        self._free_at = [0.0] * n_engines
+        self.tallies: dict[str, Tally] = {}
+        self.read_tokens = 0.0
+        self._routers = [
+            _Router(
+                [upstream(f"u{i}") for i in range(n_engines)],
+                FairShare(SHARE_WINDOW_S, lambda: self.now),
+            )
+            for _ in range(n_routers)
+        ]
+
+    def play(self, arrivals: Iterator[Arrival]) -> dict[str, Tally]:
+        """Play all arrivals and return what became of them by organisation."""
+        for arrival in arrivals:
+            self._run_until(arrival.at)
+            self._arrive(arrival)
+        self._run_until(float("inf"))
+        return self.tallies
+
+    def _at(self, when: float, action: Callable[[], None]) -> None:
+        self._n_events += 1
+        heapq.heappush(self._events, (when, self._n_events, action))
+
+    def _run_until(self, end: float) -> None:
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end if end < float("inf") else self.now
+
+    def _arrive(self, arrival: Arrival) -> None:
+        tally = self.tallies.setdefault(arrival.organisation, Tally())
+        tally.asked += 1
+        number = self._rng.randrange(len(self._routers))
+        router = self._routers[number]
+        name = OrganisationId(arrival.organisation)
+        tokens = float(arrival.prompt.n_tokens)
+        router.shares.note(name, asked=tokens, admitted=0.0)
+        placement = place(
+            router.upstreams, arrival.prompt, router.speed, PAUSE_S, self.now
+        )
+        demand = Demand(
+            shortest_objective_s=arrival.objective_s,
+            waited_s=0.0,
+            standing=router.shares.standing(name, None),
+            overload=router.shares.overload(),
+        )
+        match self._decide(placement, demand, self._rng):
+            case Admit():
+                router.shares.note(name, asked=0.0, admitted=tokens)
+                self._send(number, placement, arrival, tally)
+            case _:
+                tally.refused += 1
+        self._at(self.now + 0.1, lambda: self._tell_usage(number))
+
+    def _send(
+        self, number: int, placement: Placement, arrival: Arrival, tally: Tally
+    ) -> None:
+        chosen = placement.upstream
+        index = int(chosen.id[1:])
+        marker = chosen.backlog.add(placement.unread_tokens, self.now)
+        chosen.work.own = chosen.work.own + Work(0.0, 1)
+        chosen.prefixes.note_sent(arrival.prompt)
+        self.read_tokens += placement.unread_tokens
+        reading_s = placement.unread_tokens / READ_TOKENS_PER_S
+        done_at = max(self._free_at[index], self.now) + reading_s
+        self._free_at[index] = done_at
+        total = chosen.backlog.own_total
+        self._at(
+            self.now + self._tell_s, lambda: self._tell_send(number, index, total)
+        )
+
+        def first_event() -> None:
+            chosen.backlog.note_first_event(marker, self.now)
+            chosen.work.own = chosen.work.own - Work(0.0, 1)
+            if self.now - arrival.at <= arrival.objective_s:
+                tally.in_time += 1
+            else:
+                tally.late += 1
+
+        self._at(done_at, first_event)
+
+    def _tell_send(self, sender: int, index: int, total: float) -> None:
+        for number, router in enumerate(self._routers):
+            if number != sender:
+                backlog = router.upstreams[index].backlog
+                backlog.note_peer_total(f"r{sender}", total, self.now)
+
+    def _tell_usage(self, sender: int) -> None:
+        usage = dict(self._routers[sender].shares.own())
+        for number, router in enumerate(self._routers):
+            if number != sender:
+                router.shares.note_peer(f"r{sender}", usage)
--- /dev/null
+++ b/tests/gateway/test_load.py
@@ -0,0 +1,126 @@
+"""The decisions under the load patterns that they answer."""
+
+import asyncio
+from collections.abc import Iterator
+from random import Random
+
+from chicorylead.admission.gate import Admit, Refuse
+from tests.gateway.replay import Arrival, Replay, prompt_of
+
+ENGINES_TOKENS_PER_S = 4 * 40_000.0
+
+
+def _crest(
+    overload: float, seconds: float = 8.0, objective_s: float = 0.4, n_tokens: int = 2000
+) -> Iterator[Arrival]:
+    """Requests of four organisations, `overload` times what the engines can read."""
+    rng = Random(3)
+    rate = overload * ENGINES_TOKENS_PER_S / n_tokens
+    now, number = 0.0, 0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        number += 1
+        prompt = prompt_of(f"p{number}", n_tokens)
+        yield Arrival(now, f"o{number % 4}", prompt, objective_s)
+
+
+def _in_time(replay: Replay, arrivals: Iterator[Arrival]) -> float:
+    async def play() -> float:
+        tallies = replay.play(arrivals)
+        return sum(t.in_time for t in tallies.values())
+
+    return asyncio.run(play())
+
+
+def _make(**options) -> Replay:
+    async def make() -> Replay:
+        return Replay(**options)
+
+    return asyncio.run(make())
+
+
+def _admit_all(placement, demand, rng) -> Admit:
+    return Admit(placement)
+
+
+def _long_queue(placement, demand, rng) -> Admit | Refuse:
+    if placement.queue_s <= demand.shortest_objective_s:
+        return Admit(placement)
+    return Refuse(0.1, demand.shortest_objective_s)
+
+
+def test_a_crest_is_served_in_time_up_to_what_engines_can_read():
+    n_possible = 8.0 * ENGINES_TOKENS_PER_S / 2000
+    served = _in_time(_make(), _crest(overload=2.0))
+    assert served >= 0.8 * n_possible
+
+
+def test_queues_without_a_limit_serve_nothing_at_a_crest():
+    served = _in_time(_make(), _crest(overload=2.0))
+    unlimited = _in_time(_make(decide_on=_admit_all), _crest(overload=2.0))
+    long_queue = _in_time(_make(decide_on=_long_queue), _crest(overload=2.0))
+    assert served > 3 * unlimited
+    assert served > long_queue
+
+
+def test_routers_that_hear_of_sends_late_fill_the_same_engines():
+    at_once = _in_time(_make(tell_s=0.004), _crest(1.5, n_tokens=6000))
+    late = _in_time(_make(tell_s=0.4), _crest(1.5, n_tokens=6000))
+    assert at_once > late
+
+
+def _flood(seconds: float = 12.0) -> Iterator[Arrival]:
+    """One organisation asks for eight times what each of seven others asks for."""
+    rng = Random(5)
+    rate = 1.8 * ENGINES_TOKENS_PER_S / 2000
+    now, number = 0.0, 0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        number += 1
+        name = rng.choices(range(8), [8.0] + [1.0] * 7)[0]
+        yield Arrival(now, f"o{name}", prompt_of(f"p{number}", 2000))
+
+
+def test_a_flood_of_one_organisation_leaves_the_others_their_shares():
+    async def play():
+        return Replay().play(_flood())
+
+    tallies = asyncio.run(play())
+    flood = tallies.pop("o0")
+    assert flood.refused > 0.5 * flood.asked
+    for tally in tallies.values():
+        assert tally.in_time >= 0.7 * tally.asked
+
+
+def test_shared_parts_are_read_on_few_engines():
+    def arrivals() -> Iterator[Arrival]:
+        rng = Random(9)
+        now = 0.0
+        for number in range(400):
+            now += rng.expovariate(20.0)
+            shared = f"s{rng.randrange(20)}"
+            yield Arrival(now, "o", prompt_of(f"p{number}", 5000, shared, 4000), 2.0)
+
+    async def play() -> float:
+        replay = Replay()
+        replay.play(arrivals())
+        return replay.read_tokens
+
+    read = asyncio.run(play())
+    own, shared_once = 400 * 1000, 20 * 4000
+    assert read <= own + 3 * shared_once
+
+
+def test_a_hot_part_spreads_to_a_second_engine():
+    def arrivals() -> Iterator[Arrival]:
+        rng = Random(11)
+        now = 0.0
+        for number in range(600):
+            now += rng.expovariate(100.0)
+            yield Arrival(now, "o", prompt_of(f"p{number}", 1500, "hot", 500), 0.4)
+
+    async def play():
+        return Replay().play(arrivals())["o"]
+
+    tally = asyncio.run(play())
+    assert tally.in_time >= 0.9 * tally.asked
