Tell peers which shared parts were sent where

Change: reports of sends carry the shared parts; the queue limit is 0.2 of the shortest objective, a twentieth of that beyond a share.

--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -15,9 +15,9 @@
 
 # Engines are busy while anything waits; a longer queue only makes answers late.
 # Part of the shortest objective that a request may wait before it is read.
-QUEUE_SHARE = 0.15
+QUEUE_SHARE = 0.2
 # An organisation that has had its share leaves this part of the queue to others.
-QUEUE_BEYOND_SHARE = 0.1
+QUEUE_BEYOND_SHARE = 0.05
 STANDING_MET = 0.8  # from here to its whole share an organisation is slowed down
 STANDING_BEYOND = 1.2
 # A caller that was refused before has no further try, but can rarely be in time.
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -27,6 +27,7 @@
 from chicorylead.platform.store import StoreClient
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.model import Configuration
+from chicorylead.traffic.request import PromptPart
 from chicorylead.traffic.stream import Stream, StreamRecord
 from chicorylead.upstream.registry import Registry
 from chicorylead.upstream.work import NO_WORK, Work
@@ -319,10 +320,14 @@
 
     def _on_sends(self, sends: Sends) -> None:
         now = self._clock()
-        for name, total in sends.totals:
-            upstream = self._registry.get(UpstreamId(name))
-            if upstream is not None:
-                upstream.backlog.note_peer_total(sends.id, total, now)
+        for report in sends.reports:
+            upstream = self._registry.get(UpstreamId(report.upstream))
+            if upstream is None:
+                continue
+            upstream.backlog.note_peer_total(sends.id, report.sent_tokens, now)
+            if upstream.prefixes is not None:
+                parts = [PromptPart(*part) for part in report.parts]
+                upstream.prefixes.note_parts(parts)
 
     def _on_silent(self, beacon: Beacon) -> None:
         """Forget the work of a peer, which ends with its connections."""
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -14,7 +14,7 @@
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
 from chicorylead.gateway.reply import CallerReply
-from chicorylead.gateway.sender import EVENT_TIMEOUT_S, Sender
+from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
 from chicorylead.gateway.settings import Bounds
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
@@ -61,7 +61,7 @@
         bounds: Budget of repeated sends.
         tokens_per_s: Returns the throughput of all engines, tokens/s.
         shortest_objective_s: Returns the shortest objective of a service, seconds.
-        on_sent: Called with an engine and the tokens ever sent to it.
+        on_sent: Called with each prompt that is sent to an engine.
         n_routers: Returns the number of routers that share budgets.
     """
 
@@ -73,7 +73,7 @@
         bounds: Bounds,
         tokens_per_s: Callable[[], float | None],
         shortest_objective_s: Callable[[ServiceName], float],
-        on_sent: Callable[[UpstreamId, float], None],
+        on_sent: OnSent,
         n_routers: Callable[[], int],
         log: EventLog,
         metrics: Metrics,
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -15,7 +15,9 @@
 from chicorylead.upstream.connection import Connection, Failure, FailureKind
 from chicorylead.upstream.events import EventSplitter, StreamGap
 
-__all__ = ["Sender"]
+__all__ = ["OnSent", "Sender"]
+
+OnSent = Callable[[UpstreamId, float, list[tuple[str, int]]], None]
 
 # Beyond every pause that operators allow between events, and short of the two
 # seconds after which callers leave.
@@ -34,7 +36,8 @@
         reply: The caller's answer.
         first_timeout_s: Longest wait for the first part, seconds.
         event_timeout_s: Longest wait between parts, seconds.
-        on_sent: Called with an engine and the tokens ever sent to it.
+        on_sent: Called with an engine, the tokens ever sent to it, and the shared
+            parts of the prompt.
 
     Attributes:
         first_event_s: Time from the sending to the first event, seconds.
@@ -51,7 +54,7 @@
         reply: CallerReply,
         first_timeout_s: float,
         event_timeout_s: float,
-        on_sent: Callable[[UpstreamId, float], None],
+        on_sent: OnSent,
     ) -> None:
         self._req = req
         self._upstream = placement.upstream
@@ -102,8 +105,10 @@
         self._marker = upstream.backlog.add(
             self._placement.unread_tokens, self._clock()
         )
-        self._on_sent(upstream.id, upstream.backlog.own_total)
-        upstream.prefixes.note_sent(self._req.head.prompt)
+        prompt = self._req.head.prompt
+        upstream.prefixes.note_parts(prompt.parts)
+        shared = [(part.id, part.n_tokens) for part in prompt.parts[:-1]]
+        self._on_sent(upstream.id, upstream.backlog.own_total, shared)
 
     def _give_work_back(self) -> None:
         upstream = self._upstream
--- a/src/chicorylead/peer/beacon.py
+++ b/src/chicorylead/peer/beacon.py
@@ -3,7 +3,7 @@
 A beacon holds the whole state of its sender, so that lost, repeated and late ones
 do no harm: the newest of a sender's incarnation holds. No connection can go silent
 unnoticed, and a router that is cut off or frozen is missed within a second. Between
-beacons, totals of what was sent to engines go out within milliseconds: routers that
+beacons, reports of what was sent to engines go out within milliseconds: routers that
 learn of each other's sends only with the next beacon all fill the same engine.
 """
 
@@ -19,7 +19,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 
-__all__ = ["Beacon", "BeaconLink", "Peer", "Sends", "UsageReport", "WorkReport"]
+__all__ = ["Beacon", "BeaconLink", "Peer", "SendReport", "Sends", "UsageReport", "WorkReport"]
 
 PERIOD_S = 0.1  # a quarter of the shortest usual objective
 PERIOD_PER_PEER_S = 0.0125  # keeps the messages a second bounded in larger fleets
@@ -53,12 +53,25 @@
     admitted: float
 
 
+class SendReport(Struct, frozen=True, array_like=True):
+    """What the sender sent to one upstream.
+
+    Attributes:
+        sent_tokens: Prompt tokens that it ever sent there.
+        parts: Shared parts of the prompts since its last report, with their lengths.
+    """
+
+    upstream: str
+    sent_tokens: float
+    parts: list[tuple[str, int]]
+
+
 class Sends(Struct, frozen=True, array_like=True, tag="s"):
-    """Prompt tokens that a router ever sent to some upstreams."""
+    """What a router sent to some upstreams."""
 
     id: str
     incarnation: int
-    totals: list[tuple[str, float]]
+    reports: list[SendReport]
 
 
 class Beacon(Struct, frozen=True, array_like=True, tag="b"):
@@ -134,7 +147,7 @@
         seeds: IP numbers of some routers.
         make: Makes the own state from a sequence number and the known peers.
         on_beacon: Called with each newer state of a peer.
-        on_sends: Called with totals of a live peer.
+        on_sends: Called with what a live peer sent to upstreams.
         on_silent: Called with a peer that is no longer heard.
     """
 
@@ -167,7 +180,7 @@
         self._hosts: dict[str, float] = dict.fromkeys(seeds, 0.0)
         self._peers: dict[str, Peer] = {}
         self._sequence = 0
-        self._new_totals: dict[str, float] = {}
+        self._new_sends: dict[str, SendReport] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Beacon | Sends)
 
@@ -220,17 +233,28 @@
                 self._hosts[host] = now
             self._send_to(host, data)
 
-    def note_sent(self, upstream: str, total: float) -> None:
-        """Tell live peers soon how much was ever sent to an upstream."""
-        if not self._new_totals:
-            delay_s = SENDS_DELAY_PER_PEER_S * len(self._peers)
-            self._loop.call_later(delay_s, self._send_totals)
-        self._new_totals[upstream] = total
+    def note_sent(
+        self, upstream: str, total: float, parts: list[tuple[str, int]]
+    ) -> None:
+        """Tell live peers soon of a prompt that was sent to an upstream.
 
-    def _send_totals(self) -> None:
-        totals = list(self._new_totals.items())
-        self._new_totals.clear()
-        data = self._encoder.encode(Sends(self._id, self._incarnation, totals))
+        Args:
+            upstream: The upstream.
+            total: Prompt tokens that were ever sent to it.
+            parts: Shared parts of the prompt, with their lengths.
+        """
+        if not self._new_sends:
+            delay_s = SENDS_DELAY_PER_PEER_S * len(self._peers)
+            self._loop.call_later(delay_s, self._send_reports)
+        known = self._new_sends.get(upstream)
+        if known is not None:
+            parts = [*known.parts, *parts]
+        self._new_sends[upstream] = SendReport(upstream, total, parts)
+
+    def _send_reports(self) -> None:
+        reports = list(self._new_sends.values())
+        self._new_sends.clear()
+        data = self._encoder.encode(Sends(self._id, self._incarnation, reports))
         for peer in self.live():
             self._send_to(peer.beacon.host, data)
 
--- a/src/chicorylead/upstream/prefix_memory.py
+++ b/src/chicorylead/upstream/prefix_memory.py
@@ -1,6 +1,7 @@
 """What an engine probably keeps of the prompts that it has read."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 
 from chicorylead.traffic.request import Prompt, PromptPart
 
@@ -39,10 +40,10 @@
         # The last token is always read again, to make the first one of the answer.
         return max(1, prompt.n_tokens - kept)
 
-    def note_sent(self, prompt: Prompt) -> None:
-        """Note that the engine reads a prompt."""
+    def note_parts(self, parts: Sequence[PromptPart]) -> None:
+        """Note that the engine reads the parts of a prompt."""
         # The first parts are used last, so that a chain is forgotten from its end.
-        for part in reversed(prompt.parts):
+        for part in reversed(parts):
             self._keep(part)
         while self._n_tokens > self._capacity and self._parts:
             _, n_tokens = self._parts.popitem(last=False)
