--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -211,6 +211,11 @@
             took_s=self._clock() - started,
         )
 
+    @property
+    def n_upstreams(self) -> int:
+        """Return the number of upstreams that are listed."""
+        return len(list(self._registry.all()))
+
     async def _sweep_idle(self) -> None:
         while True:
             await asyncio.sleep(IDLE_SWEEP_S)
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,256 @@
+"""Small stand-ins at the gateway's edges: the store, an upstream, a caller."""
+
+import asyncio
+import base64
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route, Router
+
+from chicorylead.gateway.app import Gateway
+from chicorylead.gateway.settings import Bounds, GatewaySettings
+from chicorylead.http_server import HttpServer
+from chicorylead.ids import RouterId, ZoneName
+
+__all__ = ["FakeStore", "FakeUpstream", "Received", "call", "gateway_on", "sealed"]
+
+HOST = "phrases.example"
+KEY = "key-of-north"
+
+
+class FakeStore:
+    """The platform's store, with two topics of keyed records."""
+
+    def __init__(self) -> None:
+        self.logs: dict[str, list[tuple[str, bytes]]] = {}
+        self.is_down = False
+        self.n_calls = 0
+        self._changed = asyncio.Event()
+        self._server = HttpServer(
+            Router(
+                [
+                    Route("/api/log-newest", self._newest),
+                    Route("/api/log-read", self._read),
+                ]
+            )
+        )
+        self.port = self._server.port
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def stop(self) -> None:
+        await self._server.stop(0.1)
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        data = b"" if value is None else msgspec.json.encode(value)
+        self.logs.setdefault(topic, []).append((key, data))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _newest(self, req: Request) -> Response:
+        self.n_calls += 1
+        if self.is_down:
+            return Response(status_code=503)
+        log = self.logs.get(req.query_params["topic"], [])
+        newest = {key: (n, value) for n, (key, value) in enumerate(log)}
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": n}
+            for key, (n, value) in newest.items()
+            if value
+        ]
+        body = {"items": items, "hasMore": False, "endOffset": len(log)}
+        return Response(msgspec.json.encode(body))
+
+    async def _read(self, req: Request) -> Response:
+        self.n_calls += 1
+        if self.is_down:
+            return Response(status_code=503)
+        start = int(req.query_params["from"])
+        topic = req.query_params["topic"]
+        if len(self.logs.get(topic, [])) <= start:
+            wait_s = int(req.query_params.get("waitMs", "0")) / 1000
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        log = self.logs.get(topic, [])
+        body = struct.pack(">QQ", len(log), 0)
+        for key, value in log[start:]:
+            data = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(data)) + data
+        return Response(body)
+
+
+@dataclass
+class Received:
+    """A request as an upstream gets it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    number: int
+
+
+Script = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class FakeUpstream:
+    """A raw HTTP server that plays a script for each request."""
+
+    script: Script
+    received: list[Received] = field(default_factory=list)
+    n_closed_by_router: int = 0
+    port: int = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                first, *lines = head[:-4].split("\r\n")
+                method, target, _ = first.split(" ")
+                pairs = [line.split(": ", 1) for line in lines]
+                headers = {name.lower(): value for name, value in pairs}
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                got = Received(method, target, headers, body, len(self.received))
+                self.received.append(got)
+                await self.script(got, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.n_closed_by_router += 1
+        finally:
+            writer.close()
+
+
+def sealed(
+    got: Received, body: bytes, status: str = "200 OK", request_id: str = ""
+) -> bytes:
+    """Return a whole answer to a request."""
+    request_id = request_id or got.headers["chicorylead-attempt-id"]
+    return (
+        f"HTTP/1.1 {status}\r\nChicorylead-Attempt-Id: {request_id}\r\n"
+        f"Chicorylead-Response-Seal: 1.2.3\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def _route(name: str, prefix: str, kind: str, **fields: object) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeKind": kind,
+        "timeoutMs": 3000,
+        "goalMs": 400,
+        "priority": 1,
+        "service": "app",
+        "maxAttempts": 2,
+        "public": False,
+        **fields,
+    }
+
+
+def configuration(version: int = 1) -> dict[str, object]:
+    """Return a configuration in the platform's form."""
+    return {
+        "version": version,
+        "routeTable": [
+            _route("look", "/look/", "safe"),
+            _route("publish", "/publish/", "unsafe", maxAttempts=1),
+            _route("revise", "/revise/", "streaming", resumable=True),
+            _route("chat", "/chat/", "streaming"),
+        ],
+        "services": [{"name": "app", "maxConns": 100}],
+        "limits": {"maxBodyBytes": 4096},
+        "tenants": [{"name": "north", "apiKeys": [KEY]}],
+    }
+
+
+def entry(upstream: FakeUpstream, **fields: object) -> dict[str, object]:
+    """Return the registry's entry of an upstream."""
+    return {
+        "service": "app",
+        "address": f"127.0.0.1:{upstream.port}",
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+        "born": 1000,
+        **fields,
+    }
+
+
+def gateway_on(store: FakeStore, ports: list[int]) -> Gateway:
+    """Return a gateway that listens on five free ports."""
+    callers, readiness, control, directory, peers = (("127.0.0.1", p) for p in ports)
+    cfg = GatewaySettings(
+        id=RouterId("router-1"),
+        zone=ZoneName("a"),
+        region="r",
+        callers=callers,
+        readiness=readiness,
+        control=control,
+        directory=directory,
+        peers=peers,
+        seeds=(),
+        store=("127.0.0.1", store.port),
+        bounds=Bounds(shutdown_s=4.0),
+    )
+    return Gateway(cfg, incarnation=1, read_settings=lambda: cfg)
+
+
+async def call(
+    port: int, path: str, method: str = "GET", body: bytes = b"", **headers: str
+) -> tuple[int, dict[str, str], bytes, bool]:
+    """Send one request; return status, headers, body and whether it came whole."""
+    lines = {
+        "host": HOST,
+        "chicorylead-attempt-id": "req-1",
+        "chicorylead-deadline-ms": "2000",
+        "authorization": f"Token {KEY}",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    if body:
+        lines["content-length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+    try:
+        return await _answer(reader)
+    finally:
+        writer.close()
+
+
+async def _answer(
+    reader: asyncio.StreamReader,
+) -> tuple[int, dict[str, str], bytes, bool]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head[:-4].split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    status = int(first.split(" ")[1])
+    body = b""
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readuntil(b"\r\n")
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except asyncio.IncompleteReadError:
+        return status, headers, body, False
+    return status, headers, body, True
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -182,9 +182,7 @@
 
         self._at(done_at, first_event)
 
-    def _tell_send(
-        self, sender: int, index: int, total: float, prompt: Prompt
-    ) -> None:
+    def _tell_send(self, sender: int, index: int, total: float, prompt: Prompt) -> None:
         for number, router in enumerate(self._routers):
             if number != sender:
                 there = router.upstreams[index]
--- /dev/null
+++ b/tests/gateway/test_adapter.py
@@ -0,0 +1,152 @@
+"""Decoding of what the platform, callers and upstreams send."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.platform.caller import decode_head, encode_refusal
+from chicorylead.platform.configuration import decode_configuration
+from chicorylead.platform.registry import decode_upstream
+from chicorylead.platform.settings_file import decode_settings
+from chicorylead.platform.upstream_wire import decode_answer
+from chicorylead.traffic.model import Repeat
+from tests.gateway.fakes import configuration
+
+SETTINGS = {
+    "nodeName": "edge-1",
+    "ip": "10.0.0.1",
+    "zone": "a",
+    "region": "r",
+    "listen": {
+        "frontend": "10.0.0.1:1",
+        "readiness": "10.0.0.1:2",
+        "controlPlane": "10.0.0.1:3",
+        "directory": "10.0.0.1:4",
+    },
+    "portRange": [7400, 7415],
+    "seeds": ["10.0.0.2:3"],
+    "limits": {"memoryMb": 200, "maxFds": 6000},
+    "platform": {"address": "10.9.0.1:5"},
+    "bounds": {"drainMs": 2500, "graceS": 9, "ttl_max_s": 4},
+    "unknown": {"field": 1},
+}
+
+
+def test_settings_are_decoded_with_their_units():
+    cfg = decode_settings(msgspec.json.encode(SETTINGS))
+    assert cfg.callers == ("10.0.0.1", 1)
+    assert cfg.peers == ("10.0.0.1", 7400)
+    assert cfg.seeds == ("10.0.0.2",)
+    assert cfg.store == ("10.9.0.1", 5)
+    assert cfg.bounds.drain_s == 2.5
+    assert cfg.bounds.shutdown_s == 9.0
+    assert cfg.bounds.address_lifetime_s == 4.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"portRange": [2, 1]}, {"platform": {"address": "x"}}, {"nodeName": ""}],
+)
+def test_wrong_settings_are_errors(change):
+    with pytest.raises((ValueError, msgspec.ValidationError)):
+        decode_settings(msgspec.json.encode({**SETTINGS, **change}))
+
+
+def test_operations_are_found_by_the_longest_prefix():
+    raw = configuration()
+    raw["routeTable"].append({**raw["routeTable"][0], "name": "x", "pathPrefix": "/"})
+    cfg = decode_configuration(msgspec.json.encode(raw))
+    assert cfg.operation("phrases.example", "/look/a").name == "look"
+    assert cfg.operation("phrases.example", "/other").name == "x"
+    assert cfg.operation("other.example", "/look/a") is None
+
+
+def test_only_resumable_streams_and_safe_requests_may_repeat():
+    cfg = decode_configuration(msgspec.json.encode(configuration()))
+    repeats = {op.name: op.repeat for op in cfg.operations}
+    assert repeats == {
+        "look": Repeat.IDEMPOTENT,
+        "publish": Repeat.ONCE,
+        "revise": Repeat.RESUMABLE,
+        "chat": Repeat.ONCE,
+    }
+
+
+def _headers(**more: bytes) -> list[tuple[bytes, bytes]]:
+    pairs = {b"host": b"H.example:80", b"chicorylead-attempt-id": b"r1"}
+    pairs.update({k.replace("_", "-").encode(): v for k, v in more.items()})
+    return list(pairs.items())
+
+
+def test_headers_of_the_connection_and_of_the_router_are_not_forwarded():
+    head = decode_head(
+        "GET",
+        b"/a?b",
+        _headers(connection=b"x-hop, close", x_hop=b"1", kv_from=b"z", x_end=b"2"),
+    )
+    assert head.forwarded == ((b"x-end", b"2"),)
+    assert (head.host, head.path, head.target) == ("h.example", "/a", b"/a?b")
+
+
+def test_a_prompt_is_decoded():
+    head = decode_head(
+        "POST",
+        b"/a",
+        _headers(
+            chicorylead_token_counts=b"1460,80",
+            chicorylead_prefix_hash=b"5c:800, 91:660",
+            chicorylead_length_hint=b"31",
+        ),
+    )
+    assert [(p.id, p.n_tokens) for p in head.prompt.parts] == [("5c", 800), ("91", 660)]
+    assert (head.prompt.n_tokens, head.prompt.expected_output_tokens) == (1460, 31)
+
+
+def test_two_ids_are_refused():
+    twice = [*_headers(), (b"chicorylead-attempt-id", b"r2")]
+    with pytest.raises(Refusal):
+        decode_head("GET", b"/a", twice)
+
+
+header_bytes = st.binary(max_size=30)
+
+
+@given(st.lists(st.tuples(header_bytes, header_bytes), max_size=8))
+def test_any_head_is_decoded_or_refused(headers):
+    try:
+        decode_head("GET", b"/a", [*_headers(), *headers])
+    except Refusal as exc:
+        assert exc.kind is ErrorKind.BAD_REQUEST
+
+
+@given(st.lists(st.tuples(header_bytes, header_bytes), max_size=8))
+def test_any_answer_head_is_decoded(headers):
+    odd = [(b"chicorylead-instance-load", b"1,x"), (b"keep-alive", b"timeout=")]
+    assert decode_answer(200, [*odd, *headers]).load is None or headers
+
+
+@given(st.binary(max_size=200))
+def test_any_entry_is_decoded_or_an_error(data):
+    try:
+        decode_upstream("u", data)
+    except ValueError:
+        pass
+
+
+@given(st.binary(max_size=200))
+def test_any_configuration_is_decoded_or_an_error(data):
+    try:
+        decode_configuration(data)
+    except ValueError:
+        pass
+
+
+def test_only_requests_that_have_not_run_are_told_so():
+    not_run = {429, 503, 408, 421}
+    for kind in ErrorKind:
+        refusal = Refusal(kind, "x")
+        status, _, _ = encode_refusal(refusal)
+        if refusal.answer.run_state.value != "not_run":
+            assert status not in not_run, kind
--- /dev/null
+++ b/tests/gateway/test_gateway.py
@@ -0,0 +1,363 @@
+"""A whole gateway before fake upstreams: what callers and upstreams see."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+
+from tests.gateway.fakes import (
+    FakeStore,
+    FakeUpstream,
+    Received,
+    call,
+    configuration,
+    entry,
+    gateway_on,
+    sealed,
+)
+
+Writer = asyncio.StreamWriter
+STREAM_HEAD = (
+    "HTTP/1.1 200 OK\r\nChicorylead-Attempt-Id: {id}\r\n"
+    "Chicorylead-Response-Seal: 1.2.3\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def _free_ports(n: int) -> list[int]:
+    socks = [socket.socket() for _ in range(n)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class Fleet:
+    """A store, upstreams and one gateway."""
+
+    def __init__(self, scripts: list[Callable[[Received, Writer], Awaitable[None]]]):
+        self.upstreams = [FakeUpstream(script) for script in scripts]
+        self.ports = _free_ports(5)
+
+    async def __aenter__(self) -> "Fleet":
+        self.store = FakeStore()
+        await self.store.start()
+        self.store.put("keyed.op", "config", configuration())
+        for n, upstream in enumerate(self.upstreams):
+            await upstream.start()
+            self.store.put("keyed.servers", f"u{n}", entry(upstream))
+        self.gateway = gateway_on(self.store, self.ports)
+        await self.gateway.app.start()
+        await self._ready()
+        return self
+
+    async def _ready(self) -> None:
+        async with asyncio.timeout(5):
+            while (await call(self.ports[1], "/api/readyz"))[0] != 200:
+                await asyncio.sleep(0.02)
+            while self.gateway.n_upstreams < len(self.upstreams):
+                await asyncio.sleep(0.02)
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.gateway.app.stop()
+        for upstream in self.upstreams:
+            await upstream.stop()
+        await self.store.stop()
+
+    async def call(self, path: str, **options):
+        return await call(self.ports[0], path, **options)
+
+    @property
+    def n_received(self) -> int:
+        return sum(len(upstream.received) for upstream in self.upstreams)
+
+
+async def _serve(got: Received, writer: Writer) -> None:
+    writer.write(sealed(got, b"hello"))
+
+
+async def _shed(got: Received, writer: Writer) -> None:
+    writer.write(
+        b"HTTP/1.1 503 Busy\r\nChicorylead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
+async def _reset(got: Received, writer: Writer) -> None:
+    writer.transport.abort()
+
+
+async def _truncate(got: Received, writer: Writer) -> None:
+    writer.write(sealed(got, b"hello")[:-2])
+    writer.close()
+
+
+async def _without_seal(got: Received, writer: Writer) -> None:
+    data = sealed(got, b"hello")
+    writer.write(data.replace(b"Chicorylead-Response-Seal: 1.2.3\r\n", b""))
+
+
+async def _other_answer_first(got: Received, writer: Writer) -> None:
+    writer.write(sealed(got, b"other", request_id="req-0") + sealed(got, b"hello"))
+
+
+async def _hang(got: Received, writer: Writer) -> None:
+    await asyncio.sleep(30)
+
+
+async def _cut_without_length(got: Received, writer: Writer) -> None:
+    request_id = got.headers["chicorylead-attempt-id"]
+    writer.write(
+        f"HTTP/1.1 200 OK\r\nChicorylead-Attempt-Id: {request_id}\r\n"
+        "Chicorylead-Response-Seal: 1.2.3\r\n\r\nhel".encode()
+    )
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    linger = struct.pack("ii", 1, 0)  # closing sends a reset
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def _run(scripts, check: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with Fleet(scripts) as fleet:
+            await check(fleet)
+
+    asyncio.run(main())
+
+
+def test_the_answer_and_the_request_pass_unchanged_and_forged_headers_do_not():
+    async def check(fleet: Fleet) -> None:
+        status, headers, body, whole = await fleet.call(
+            "/publish/a%2fb?x=1&",
+            method="POST",
+            body=b"edition",
+            chicorylead_tenant="south",
+            chicorylead_kv_retain="h",
+            chicorylead_expect_instance="u9",
+            x_other="kept",
+        )
+        assert (status, body, whole) == (200, b"hello", True)
+        assert headers["chicorylead-response-seal"] == "1.2.3"
+        got = fleet.upstreams[0].received[0]
+        assert (got.method, got.target) == ("POST", "/publish/a%2fb?x=1&")
+        assert got.body == b"edition"
+        assert got.headers["chicorylead-tenant"] == "north"
+        assert got.headers["chicorylead-expect-instance"] == "u0"
+        assert got.headers["x-other"] == "kept"
+        assert "authorization" not in got.headers
+        assert "chicorylead-kv-retain" not in got.headers
+        assert int(got.headers["chicorylead-deadline-ms"]) <= 2000
+
+    _run([_serve], check)
+
+
+def test_an_empty_query_is_kept():
+    async def check(fleet: Fleet) -> None:
+        await fleet.call("/look/a?")
+        assert fleet.upstreams[0].received[0].target == "/look/a?"
+
+    _run([_serve], check)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/none/a", {}, 404),
+        ("/look/a", {"authorization": "Token wrong"}, 401),
+        ("/look/a", {"chicorylead_deadline_ms": "soon"}, 400),
+    ],
+)
+def test_what_is_not_allowed_reaches_no_upstream(path, headers, status):
+    async def check(fleet: Fleet) -> None:
+        assert (await fleet.call(path, **headers))[0] == status
+        assert fleet.n_received == 0
+
+    _run([_serve], check)
+
+
+@pytest.mark.parametrize("script", [_reset, _truncate, _without_seal, _hang])
+def test_a_request_that_may_have_run_is_never_sent_again_nor_refused(script):
+    async def check(fleet: Fleet) -> None:
+        status, _, _, _ = await fleet.call(
+            "/publish/a", method="POST", body=b"x", chicorylead_deadline_ms="600"
+        )
+        assert status in (502, 504)
+        assert fleet.n_received == 1
+
+    _run([script, script], check)
+
+
+@pytest.mark.parametrize("script", [_reset, _truncate, _without_seal])
+def test_an_idempotent_request_is_sent_to_another_upstream(script):
+    async def check(fleet: Fleet) -> None:
+        for _ in range(4):
+            status, _, body, _ = await fleet.call("/look/a")
+            assert (status, body) == (200, b"hello")
+
+    _run([script, _serve], check)
+
+
+def test_a_shed_request_is_refused_as_not_run_when_no_upstream_takes_it():
+    async def check(fleet: Fleet) -> None:
+        status, headers, _, _ = await fleet.call("/publish/a", method="POST", body=b"x")
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+
+    _run([_shed, _shed], check)
+
+
+def test_a_shed_request_runs_on_the_other_upstream():
+    async def check(fleet: Fleet) -> None:
+        for _ in range(4):
+            status, _, _, _ = await fleet.call("/publish/a", method="POST", body=b"x")
+            assert status == 200
+
+    _run([_shed, _serve], check)
+
+
+def test_an_answer_to_another_request_is_dropped():
+    async def check(fleet: Fleet) -> None:
+        status, _, body, _ = await fleet.call("/look/a")
+        assert (status, body) == (200, b"hello")
+
+    _run([_other_answer_first], check)
+
+
+def test_an_answer_without_length_that_is_reset_is_not_whole():
+    async def check(fleet: Fleet) -> None:
+        status, _, _, _ = await fleet.call("/publish/a", method="POST", body=b"x")
+        assert status == 502
+
+    _run([_cut_without_length], check)
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: w%d\n\n" % (number, number)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _stream(first_cut: int | None, last: int = 5):
+    """Return a script that streams events; the first run breaks within one."""
+    runs = []
+
+    async def script(got: Received, writer: Writer) -> None:
+        after = int(got.headers.get("last-event-id", "0"))
+        runs.append(after)
+        request_id = got.headers["chicorylead-attempt-id"]
+        writer.write(STREAM_HEAD.format(id=request_id).encode())
+        for number in range(after + 1, last + 1):
+            if len(runs) == 1 and number == first_cut:
+                writer.write(_chunk(_event(number)[:7]))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                return
+            writer.write(_chunk(_event(number)))
+        writer.write(b"0\r\n\r\n")
+
+    return script, runs
+
+
+def test_a_broken_stream_goes_on_after_the_last_whole_event():
+    script, runs = _stream(first_cut=3)
+
+    async def check(fleet: Fleet) -> None:
+        status, _, body, whole = await fleet.call("/revise/a", method="POST", body=b"x")
+        assert (status, whole) == (200, True)
+        assert body == b"".join(_event(n) for n in range(1, 6))
+        assert runs == [0, 2]
+
+    _run([script, script], check)
+
+
+def test_a_stream_that_may_not_be_resumed_is_cut_visibly():
+    script, runs = _stream(first_cut=3)
+
+    async def check(fleet: Fleet) -> None:
+        status, _, body, whole = await fleet.call("/chat/a", method="POST", body=b"x")
+        assert (status, whole) == (200, False)
+        assert body == _event(1) + _event(2)
+        assert runs == [0]
+
+    _run([script, script], check)
+
+
+def test_a_caller_that_leaves_ends_the_run():
+    async def check(fleet: Fleet) -> None:
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await fleet.call("/look/a")
+        async with asyncio.timeout(0.5):
+            while not fleet.upstreams[0].n_closed_by_router:
+                await asyncio.sleep(0.01)
+
+    async def hang_until_closed(got: Received, writer: Writer) -> None:
+        return None
+
+    _run([hang_until_closed], check)
+
+
+def test_a_leaving_upstream_gets_no_new_request():
+    async def check(fleet: Fleet) -> None:
+        upstream = fleet.upstreams[0]
+        left = entry(upstream, state="draining", seq=2)
+        fleet.store.put("keyed.servers", "u0", left)
+        await asyncio.sleep(0.3)
+        for _ in range(6):
+            assert (await fleet.call("/look/a"))[0] == 200
+        assert not upstream.received
+
+    _run([_serve, _serve], check)
+
+
+def test_an_older_configuration_never_comes_back_into_force():
+    async def check(fleet: Fleet) -> None:
+        newer = configuration(version=9)
+        newer["routeTable"] = [r for r in newer["routeTable"] if r["name"] != "look"]
+        fleet.store.put("keyed.op", "config", newer)
+        await asyncio.sleep(0.3)
+        assert (await fleet.call("/look/a"))[0] == 404
+        fleet.store.put("keyed.op", "config", configuration(version=5))
+        await asyncio.sleep(0.3)
+        assert (await fleet.call("/look/a"))[0] == 404
+
+    _run([_serve], check)
+
+
+def test_draining_tells_callers_and_cuts_nothing():
+    async def slow(got: Received, writer: Writer) -> None:
+        await asyncio.sleep(1.0)
+        writer.write(sealed(got, b"hello"))
+
+    async def check(fleet: Fleet) -> None:
+        answer = asyncio.ensure_future(fleet.call("/look/a"))
+        await asyncio.sleep(0.1)
+        drain = asyncio.ensure_future(fleet.gateway.drain())
+        await asyncio.sleep(0.1)
+        assert (await call(fleet.ports[1], "/api/readyz"))[0] == 503
+        _, headers, _, _ = await fleet.call("/look/b")
+        assert headers["connection"] == "close"
+        status, _, body, whole = await answer
+        assert (status, body, whole) == (200, b"hello", True)
+        await drain
+
+    _run([slow], check)
+
+
+def test_callers_are_told_ready_routers_only():
+    async def check(fleet: Fleet) -> None:
+        _, _, body, _ = await call(fleet.ports[3], "/api/resolve?name=x&zone=a")
+        answer = msgspec.json.decode(body)
+        assert answer["addrs"] == [f"127.0.0.1:{fleet.ports[0]}"]
+        assert 0 < answer["ttlS"] <= 5
+
+    _run([_serve], check)
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -11,7 +11,10 @@
 
 
 def _crest(
-    overload: float, seconds: float = 8.0, objective_s: float = 0.4, n_tokens: int = 2000
+    overload: float,
+    seconds: float = 8.0,
+    objective_s: float = 0.4,
+    n_tokens: int = 2000,
 ) -> Iterator[Arrival]:
     """Requests of four organisations, `overload` times what the engines can read."""
     rng = Random(3)
--- /dev/null
+++ b/tests/gateway/test_parts.py
@@ -0,0 +1,181 @@
+"""Backlog, events, budgets, shares, upstream health, connections, beacons."""
+
+import asyncio
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicorylead.admission.fair_share import FairShare, max_min_level
+from chicorylead.admission.retry_budget import RetryBudget
+from chicorylead.ids import OrganisationId
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.peer.beacon import Beacon, BeaconLink
+from chicorylead.upstream.backlog import TOKENS_PER_S, ReadingBacklog
+from chicorylead.upstream.events import EventSplitter, StreamGap
+from chicorylead.upstream.prefix_memory import PrefixMemory
+from tests.gateway.replay import prompt_of, upstream
+
+
+def test_a_backlog_shrinks_as_the_engine_reads():
+    backlog = ReadingBacklog()
+    backlog.note_peer_total("p", 0.0, 0.0)
+    backlog.note_peer_total("p", 8000.0, 0.0)
+    assert backlog.tokens(0.0) == 8000.0
+    assert backlog.tokens(0.1) == pytest.approx(8000.0 - 0.1 * TOKENS_PER_S)
+    assert backlog.tokens(9.0) == 0.0
+
+
+def test_a_first_event_tells_that_all_before_was_read():
+    backlog = ReadingBacklog()
+    first = backlog.add(30_000.0, 0.0)
+    backlog.add(5_000.0, 0.0)
+    backlog.note_first_event(first, 0.01)
+    assert backlog.tokens(0.01) == 5_000.0
+
+
+def test_what_follows_an_unread_prompt_is_not_read_yet():
+    backlog = ReadingBacklog()
+    backlog.add(1_000.0, 0.0)
+    backlog.add(4_000.0, 0.0)
+    assert backlog.tokens(60.0) == 4_000.0
+
+
+def test_repeated_late_and_restarted_peer_totals_do_no_harm():
+    backlog = ReadingBacklog()
+    for total in (5_000.0, 5_000.0):
+        backlog.note_peer_total("p", total, 0.0)
+    assert backlog.tokens(0.0) == 0.0
+    backlog.note_peer_total("p", 6_000.0, 0.0)
+    backlog.note_peer_total("p", 6_000.0, 0.0)
+    assert backlog.tokens(0.0) == 1_000.0
+    backlog.note_peer_total("p", 500.0, 0.0)
+    assert backlog.tokens(0.0) == 1_500.0
+
+
+def test_the_rate_follows_a_slow_engine():
+    backlog = ReadingBacklog()
+    markers = [backlog.add(2_000.0, 0.0) for _ in range(40)]
+    for number, marker in enumerate(markers):
+        backlog.note_first_event(marker, 0.2 * (number + 1))
+    assert backlog.tokens_per_s == pytest.approx(10_000.0, rel=0.3)
+
+
+def _events(numbers) -> bytes:
+    return b"".join(b"id: %d\ndata: x\n\n" % n for n in numbers)
+
+
+@given(st.integers(0, 8), st.integers(1, 40))
+def test_events_pass_once_and_in_order_over_two_runs(cut, step):
+    splitter = EventSplitter()
+    first = _events(range(1, 9))
+    passed = b""
+    broken = first[: len(_events(range(1, cut + 1))) + 3]
+    for start in range(0, len(broken), step):
+        passed += splitter.feed(broken[start : start + step])
+    splitter.restart()
+    passed += splitter.feed(_events(range(max(1, cut), 9)))
+    assert passed == first
+
+
+def test_a_missing_event_is_an_error():
+    splitter = EventSplitter()
+    splitter.feed(_events([1]))
+    with pytest.raises(StreamGap):
+        splitter.feed(_events([3]))
+
+
+def test_a_budget_bounds_repeats_within_its_window():
+    now = [0.0]
+    budget = RetryBudget(0.2, 20.0, 10.0, lambda: now[0])
+    for _ in range(100):
+        budget.note_request()
+    taken = sum(budget.take(n_routers=4) for _ in range(100))
+    assert 0 < taken <= 0.2 * 100 + 20.0 / 4
+    now[0] = 11.0
+    assert budget.take(n_routers=4)
+
+
+@given(st.lists(st.floats(0.0, 1e6), min_size=1, max_size=20), st.floats(1.0, 1e6))
+def test_the_level_uses_up_what_there_is(demands, capacity):
+    level = max_min_level(dict(enumerate(demands)), capacity)
+    used = sum(min(d, level) for d in demands)
+    assert used == pytest.approx(min(sum(demands), capacity), rel=1e-6, abs=1e-6)
+
+
+def test_usage_of_peers_counts_and_leaves_the_window():
+    now = [0.0]
+    shares = FairShare(4.0, lambda: now[0])
+    big, small = OrganisationId("big"), OrganisationId("small")
+    shares.note(big, asked=1000.0, admitted=300.0)
+    shares.note(small, asked=100.0, admitted=10.0)
+    assert shares.standing(big, None) > 1.0 > shares.standing(small, None)
+    now[0] = 5.0
+    assert shares.standing(big, None) == 0.0
+
+
+def test_least_recently_used_parts_are_forgotten():
+    memory = PrefixMemory(10_000)
+    old, new = prompt_of("a", 4000, "s", 3000), prompt_of("b", 4000, "t", 3000)
+    memory.note_parts(old.parts)
+    assert memory.missing_tokens(old) == 1
+    memory.note_parts(new.parts)
+    assert memory.missing_tokens(old) == 4000
+    assert memory.missing_tokens(new) == 1
+
+
+def test_an_upstream_that_fails_is_tried_alone_before_it_gets_work_again():
+    async def main() -> None:
+        bad = upstream("u1")
+        assert bad.note_failure(is_unreachable=True)
+        assert not bad.is_open(bad.ejected_until - 0.01)
+        assert bad.is_open(bad.ejected_until)
+        bad.note_sent()
+        assert not bad.is_open(bad.ejected_until + 1.0)
+        bad.note_answer(None)
+        assert bad.is_open(0.0)
+
+    asyncio.run(main())
+
+
+def _beacon(sequence: int, incarnation: int = 1) -> Beacon:
+    return Beacon(
+        "r2", "127.0.0.2", incarnation, sequence, "a", "c", "d", True, {}, [], [], []
+    )
+
+
+def test_beacons_are_taken_once_whatever_their_order_and_across_restarts():
+    async def main() -> None:
+        seen: list[Beacon] = []
+        link = BeaconLink(
+            "r1",
+            1,
+            ("127.0.0.1", 1),
+            (),
+            lambda sequence, peers: _beacon(sequence),
+            seen.append,
+            lambda sends: None,
+            lambda beacon: None,
+            EventLog(),
+            Metrics(),
+            Random(1),
+        )
+
+        def receive(beacon: Beacon, host: str = "127.0.0.2") -> None:
+            link.datagram_received(msgspec.msgpack.encode(beacon), (host, 1))
+
+        receive(_beacon(1))
+        receive(_beacon(3))
+        receive(_beacon(2))
+        receive(_beacon(3))
+        receive(_beacon(1, incarnation=9))
+        receive(_beacon(4))
+        receive(_beacon(9), host="127.0.0.9")
+        link.datagram_received(b"\xff\x00", ("127.0.0.2", 1))
+        order = [(b.incarnation, b.sequence) for b in seen]
+        assert order == [(1, 1), (1, 3), (9, 1)]
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/gateway/test_registry.py
@@ -0,0 +1,181 @@
+"""Which upstreams may get work, as the registry and the store change."""
+
+import asyncio
+from random import Random
+
+import msgspec
+
+from chicorylead.gateway.follower import StreamFollower
+from chicorylead.ids import ServiceName, UpstreamId
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.platform.registry import decode_upstream
+from chicorylead.platform.upstream_wire import decode_answer
+from chicorylead.traffic.stream import (
+    StoreUnavailable,
+    Stream,
+    StreamPage,
+    StreamRecord,
+    StreamTrimmed,
+)
+from chicorylead.upstream.registry import LAPSE_S, Registry
+
+SERVICE = ServiceName("app")
+
+
+def _value(**fields: object) -> bytes:
+    entry = {
+        "service": "app",
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+        "born": 1000,
+        **fields,
+    }
+    return msgspec.json.encode(entry)
+
+
+def _registry(store_back_since: float = -100.0) -> Registry:
+    return Registry(
+        decode_upstream, decode_answer, lambda: store_back_since, EventLog()
+    )
+
+
+def _ready(registry: Registry) -> list[str]:
+    return sorted(upstream.id for upstream in registry.ready(SERVICE))
+
+
+def _in_loop(check) -> None:
+    async def main() -> None:
+        check()
+
+    asyncio.run(main())
+
+
+def test_leaving_and_removed_upstreams_get_no_work():
+    def check() -> None:
+        registry = _registry()
+        registry.take_record(StreamRecord("u1", _value(), 0))
+        registry.take_record(StreamRecord("u2", _value(), 1))
+        registry.take_record(StreamRecord("u3", _value(), 2))
+        assert _ready(registry) == ["u1", "u2", "u3"]
+        registry.take_record(StreamRecord("u1", _value(state="draining", seq=2), 3))
+        registry.take_record(StreamRecord("u2", None, 4))
+        assert _ready(registry) == ["u3"]
+
+    _in_loop(check)
+
+
+def test_a_malformed_entry_names_no_upstream_and_harms_no_other():
+    def check() -> None:
+        registry = _registry()
+        registry.take_record(StreamRecord("u1", _value(), 0))
+        registry.take_record(StreamRecord("u2", _value(), 1))
+        for bad in (b"\xff", _value(state="odd"), _value(slots="8"), b"[]"):
+            registry.take_record(StreamRecord("u2", bad, 2))
+            assert _ready(registry) == ["u1"]
+
+    _in_loop(check)
+
+
+def test_an_entry_of_an_earlier_incarnation_or_beat_changes_nothing():
+    def check() -> None:
+        registry = _registry()
+        registry.take_record(StreamRecord("u1", _value(born=2000, seq=5), 0))
+        left = _value(born=2000, seq=4, state="draining")
+        registry.take_record(StreamRecord("u1", left, 1))
+        registry.take_record(StreamRecord("u1", _value(born=1000, state="draining"), 2))
+        assert _ready(registry) == ["u1"]
+
+    _in_loop(check)
+
+
+def test_a_restart_under_the_same_id_forgets_what_the_engine_kept():
+    def check() -> None:
+        registry = _registry()
+        registry.take_record(StreamRecord("u1", _value(), 0))
+        before = registry.get(UpstreamId("u1"))
+        registry.take_record(StreamRecord("u1", _value(born=2000, seq=1), 1))
+        assert registry.get(UpstreamId("u1")) is not before
+
+    _in_loop(check)
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_until_they_are_back_or_gone():
+    async def main() -> None:
+        now = asyncio.get_running_loop().time()
+        registry = _registry(store_back_since=now)
+        registry.take_record(StreamRecord("u1", _value(), 0))
+        registry.take_record(StreamRecord("u2", _value(), 1))
+        registry.take_snapshot([])
+        assert _ready(registry) == ["u1", "u2"]
+        registry.take_record(StreamRecord("u1", _value(seq=2), 2))
+        await asyncio.sleep(LAPSE_S + 0.1)
+        assert _ready(registry) == ["u1"]
+
+    asyncio.run(main())
+
+
+class _ScriptedStore:
+    """A store whose answers are given; it notes the waits that were asked for."""
+
+    def __init__(self, answers: list[object]) -> None:
+        self._answers = answers
+        self.waits: list[float] = []
+        self.n_newest = 0
+
+    async def newest(self, stream: Stream) -> StreamPage:
+        self.n_newest += 1
+        return StreamPage([StreamRecord("k", b"1", 0)], 1)
+
+    async def read(self, stream: Stream, start: int, wait_s: float) -> StreamPage:
+        self.waits.append(wait_s)
+        if not self._answers:
+            await asyncio.Event().wait()
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+async def _follow(answers: list[object]) -> tuple[_ScriptedStore, list[StreamRecord]]:
+
+    store = _ScriptedStore(answers)
+    seen: list[StreamRecord] = []
+    follower = StreamFollower(
+        store,
+        Stream.UPSTREAMS,
+        seen.append,
+        lambda records: None,
+        EventLog(),
+        Metrics(),
+        Random(1),
+    )
+    task = asyncio.ensure_future(follower.run())
+    await asyncio.sleep(0.6)
+    task.cancel()
+    return store, seen
+
+
+def test_the_first_read_after_a_loss_does_not_wait():
+    """A read that waits would date the store's return by seconds too late."""
+
+    async def main() -> None:
+        store, _ = await _follow([StoreUnavailable("down"), StreamPage([], 1)])
+        assert store.waits[0] > 0.0
+        assert store.waits[1] == 0.0
+        assert store.waits[2] > 0.0
+
+    asyncio.run(main())
+
+
+def test_records_that_are_no_longer_kept_are_read_anew_and_none_twice():
+    async def main() -> None:
+        page = StreamPage([StreamRecord("k", b"1", 0), StreamRecord("m", b"2", 1)], 2)
+        store, seen = await _follow([page, StreamTrimmed("gone")])
+        assert store.n_newest == 2
+        assert [record.key for record in seen] == ["k", "m"]
+
+    asyncio.run(main())
