Nobody is beyond a share while all is admitted; logs and metrics of the gateway

Cause: a request counted as asked for before it was decided on, so that a quiet fleet looked overloaded and an only caller beyond its share. Change: usage is noted with the decision; without refusals there is no standing. Log lines go to standard output without blocking and with a bound; counters and histograms stand at /metrics. Kinds outside the callers' table answer 502.

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -82,30 +82,20 @@
         self._forget(self._clock() - self._window_s)
         return self._own
 
-    def standing(
-        self, organisation: OrganisationId, tokens_per_s: float | None
-    ) -> float:
+    def standing(self, organisation: OrganisationId) -> float:
         """Return what an organisation got, relative to its max-min share.
 
-        While much is refused, the fleet's throughput is what it admits; the
-        configured figure may be far from what the engines do now.
-
-        Args:
-            organisation: The organisation.
-            tokens_per_s: Configured throughput of all engines; None if not given.
+        It is 0 while nearly all that is asked for is admitted. Otherwise what is
+        admitted is what the fleet can do.
         """
         totals = self._totals()
         mine = totals.get(organisation)
-        if mine is None or mine.asked <= 0.0:
-            return 0.0
         asked = sum(usage.asked for usage in totals.values())
-        capacity = sum(usage.admitted for usage in totals.values())
-        if capacity > ALL_SERVED * asked:
-            if tokens_per_s is None:
-                return 0.0
-            capacity = tokens_per_s * self._window_s
+        admitted = sum(usage.admitted for usage in totals.values())
+        if mine is None or mine.asked <= 0.0 or admitted > ALL_SERVED * asked:
+            return 0.0
         demands = {name: usage.asked for name, usage in totals.items()}
-        due = min(mine.asked, max_min_level(demands, capacity))
+        due = min(mine.asked, max_min_level(demands, admitted))
         return mine.admitted / max(due, 1.0)
 
     def overload(self) -> float:
--- a/src/chicorylead/cli/run_commands.py
+++ b/src/chicorylead/cli/run_commands.py
@@ -1,6 +1,7 @@
 """Commands that run processes: routers, stand-ins and the demonstration."""
 
 import argparse
+import logging
 import sys
 import time
 from pathlib import Path
@@ -13,6 +14,7 @@
 from chicorylead.demo import run as run_demonstration
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.gateway.app import Gateway
+from chicorylead.log_output import LogOutput
 from chicorylead.logs import EventLog
 from chicorylead.platform.settings_file import read_settings, settings_path
 from chicorylead.router.app import Router
@@ -40,12 +42,17 @@
     """Run a router on the users' platform until a signal, then drain it."""
     path = Path(args.settings) if args.settings else settings_path()
     absl_logging.set_verbosity(absl_logging.INFO)
+    output = LogOutput()
+    logging.getLogger().handlers = [output]
     gateway = Gateway(
         read_settings(path),
         incarnation=time.time_ns(),
         read_settings=lambda: read_settings(path),
     )
-    await gateway.run()
+    try:
+        await gateway.run()
+    finally:
+        output.close()
     return 0
 
 
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from random import Random
 
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
 from starlette.routing import Router as PathRouter
 
 from chicorylead.admission.fair_share import FairShare, Usage
@@ -39,6 +42,7 @@
 # The process ends before it is killed: part of the time that it is given.
 DRAIN_END_SHARE = 0.85
 IDLE_SWEEP_S = 1.0  # idle connections are kept for whole seconds
+METRICS_PATH = "/metrics"
 MAX_SUSPECTS_TOLD = 20  # keeps datagrams small; the newest matter
 HTTP_IDLE_TIMEOUT_S = 20  # longer than callers leave a connection idle
 
@@ -108,7 +112,6 @@
             self._shares,
             self._poison,
             cfg.bounds,
-            self._tokens_per_s,
             self._shortest_objective_s,
             self._link.note_sent,
             lambda: 1 + len(self._link.live()),
@@ -129,9 +132,15 @@
             self._ingress, *cfg.callers, idle_timeout_s=HTTP_IDLE_TIMEOUT_S
         )
         self._others = HttpServer(
-            PathRouter([*self._directory.routes(), *self._peer_records.routes()]),
+            PathRouter(
+                [
+                    *self._directory.routes(),
+                    *self._peer_records.routes(),
+                    Route(METRICS_PATH, self._serve_metrics),
+                ]
+            ),
             *cfg.readiness,
-            further=[cfg.directory, cfg.control],
+            further=[cfg.directory, cfg.control, cfg.metrics],
         )
         self._wire()
 
@@ -250,16 +259,15 @@
             tokens_per_s=cfg.limits.tokens_per_s,
         )
 
+    async def _serve_metrics(self, req: Request) -> Response:
+        return Response(self._metrics.page(), media_type="text/plain; version=0.0.4")
+
     def _update_readiness(self) -> None:
         is_ready = self._configuration is not None and not self._is_draining
         if is_ready != self._directory.is_ready:
             self._directory.is_ready = is_ready
             self.log.info("readiness", ready=is_ready)
 
-    def _tokens_per_s(self) -> float | None:
-        cfg = self._configuration
-        return cfg.limits.tokens_per_s if cfg is not None else None
-
     def _shortest_objective_s(self, service: ServiceName) -> float:
         cfg = self._configuration
         return cfg.shortest_objective_s(service) if cfg is not None else 0.0
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -59,7 +59,6 @@
         shares: Usage of organisations.
         poison: Requests under which upstreams crashed.
         bounds: Budget of repeated sends.
-        tokens_per_s: Returns the throughput of all engines, tokens/s.
         shortest_objective_s: Returns the shortest objective of a service, seconds.
         on_sent: Called with each prompt that is sent to an engine.
         n_routers: Returns the number of routers that share budgets.
@@ -71,7 +70,6 @@
         shares: FairShare,
         poison: PoisonList,
         bounds: Bounds,
-        tokens_per_s: Callable[[], float | None],
         shortest_objective_s: Callable[[ServiceName], float],
         on_sent: OnSent,
         n_routers: Callable[[], int],
@@ -83,7 +81,6 @@
         self._shares = shares
         self._poison = poison
         self._bounds = bounds
-        self._tokens_per_s = tokens_per_s
         self._shortest_objective_s = shortest_objective_s
         self._on_sent = on_sent
         self._n_routers = n_routers
@@ -109,12 +106,7 @@
         if self._poison.is_convicted(progress.fingerprint):
             raise Refusal(ErrorKind.POISON, "upstreams crashed under this request")
         self._budget(req.service).note_request()
-        tokens = service_of(req.head.prompt)
-        if req.organisation is not None and req.waited_s == 0.0:
-            self._shares.note(req.organisation, asked=tokens, admitted=0.0)
         placement = self._admit(req)
-        if req.organisation is not None:
-            self._shares.note(req.organisation, asked=0.0, admitted=tokens)
         while not await self._send(req, placement, progress, reply):
             placement = self._place_again(req, progress)
 
@@ -155,7 +147,9 @@
                 NO_UPSTREAM_RETRY_S,
             )
         demand = self._demand(req)
-        match decide(placement, demand, self._rng):
+        verdict = decide(placement, demand, self._rng)
+        self._note_usage(req, isinstance(verdict, Admit))
+        match verdict:
             case Admit(placement=admitted):
                 return admitted
             case Refuse() as refuse:
@@ -166,10 +160,21 @@
                     refuse.retry_after_s,
                 )
 
+    def _note_usage(self, req: ForwardRequest, is_admitted: bool) -> None:
+        """Note what an organisation asks for; a caller that is back asked before."""
+        if req.organisation is None:
+            return
+        tokens = service_of(req.head.prompt)
+        self._shares.note(
+            req.organisation,
+            asked=tokens if req.waited_s == 0.0 else 0.0,
+            admitted=tokens if is_admitted else 0.0,
+        )
+
     def _demand(self, req: ForwardRequest) -> Demand:
         standing = 0.0
         if req.organisation is not None and req.head.prompt is not None:
-            standing = self._shares.standing(req.organisation, self._tokens_per_s())
+            standing = self._shares.standing(req.organisation)
         return Demand(
             shortest_objective_s=self._shortest_objective_s(req.service),
             waited_s=req.waited_s,
@@ -387,6 +392,9 @@
         started: float,
         sender: Sender,
     ) -> None:
+        self._metrics.count(f"sends.{type(outcome).__name__.lower()}")
+        if sender.first_event_s is not None:
+            self._metrics.timing("first_event", sender.first_event_s)
         self._log.info(
             "request_sent",
             request=req.id,
--- a/src/chicorylead/gateway/settings.py
+++ b/src/chicorylead/gateway/settings.py
@@ -44,6 +44,7 @@
         control: Where peers ask for configuration that the store does not give.
         directory: Where callers ask for addresses.
         peers: Where datagrams of peers arrive; the same port on every VM.
+        metrics: Where counters and histograms are read.
         seeds: IP numbers of some peers.
         store: The platform's store.
         max_descriptors: Descriptors that the process may have.
@@ -58,6 +59,7 @@
     control: Address
     directory: Address
     peers: Address
+    metrics: Address
     seeds: tuple[str, ...]
     store: Address
     max_descriptors: int = 6000
--- a/src/chicorylead/metrics.py
+++ b/src/chicorylead/metrics.py
@@ -1,12 +1,16 @@
-"""Counters, gauges and timings sent to a statsd daemon over UDP."""
+"""Counters and timings: a page to read, and datagrams to a statsd daemon."""
 
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from statsd import StatsClient
 
 __all__ = ["Metrics"]
 
+# From a fraction of the shortest objective up to the longest deadline, seconds.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+
 
 class Metrics:
-    """Send metrics, and keep totals of counters for the status page.
+    """Count and time, and send the same to a statsd daemon if there is one.
 
     Args:
         host: Address of the statsd daemon; None sends nothing.
@@ -18,11 +22,21 @@
         self, host: str | None = None, port: int = 8125, prefix: str = "chicorylead"
     ) -> None:
         self._client = StatsClient(host, port, prefix=prefix) if host else None
+        self._prefix = prefix
+        self._registry = CollectorRegistry()
+        self._counters: dict[str, Counter] = {}
+        self._histograms: dict[str, Histogram] = {}
         self.totals: dict[str, int] = {}
 
     def count(self, name: str, n: int = 1) -> None:
         """Add to a counter."""
         self.totals[name] = self.totals.get(name, 0) + n
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = self._counters[name] = Counter(
+                self._page_name(name), f"Number of {name}", registry=self._registry
+            )
+        counter.inc(n)
         if self._client is not None:
             self._client.incr(name, n)
 
@@ -33,10 +47,26 @@
 
     def timing(self, name: str, seconds: float) -> None:
         """Record a duration, given in seconds and sent in milliseconds."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = Histogram(
+                self._page_name(name) + "_seconds",
+                f"Time of {name}",
+                registry=self._registry,
+                buckets=BUCKETS_S,
+            )
+        histogram.observe(seconds)
         if self._client is not None:
             self._client.timing(name, seconds * 1000.0)
 
+    def page(self) -> bytes:
+        """Return all counters and histograms in the common text format."""
+        return generate_latest(self._registry)
+
     def close(self) -> None:
         """Close the socket of the client."""
         if self._client is not None:
             self._client.close()
+
+    def _page_name(self, name: str) -> str:
+        return f"{self._prefix}_{name}".replace(".", "_")
--- a/src/chicorylead/peer/beacon.py
+++ b/src/chicorylead/peer/beacon.py
@@ -19,7 +19,15 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 
-__all__ = ["Beacon", "BeaconLink", "Peer", "SendReport", "Sends", "UsageReport", "WorkReport"]
+__all__ = [
+    "Beacon",
+    "BeaconLink",
+    "Peer",
+    "SendReport",
+    "Sends",
+    "UsageReport",
+    "WorkReport",
+]
 
 PERIOD_S = 0.1  # a quarter of the shortest usual objective
 PERIOD_PER_PEER_S = 0.0125  # keeps the messages a second bounded in larger fleets
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -83,6 +83,9 @@
 }
 
 
+_UNKNOWN_STATUS = 502
+
+
 def decode_head(method: str, target: bytes, headers: Iterable[tuple]) -> CallerHead:
     """Decode the head of a request.
 
@@ -174,7 +177,8 @@
 
 def encode_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
     """Return status, headers and body of a refusal."""
-    status = _STATUS.get(refusal.kind, refusal.answer.status)
+    # Only kinds that are listed may promise that the request has not run.
+    status = _STATUS.get(refusal.kind, _UNKNOWN_STATUS)
     body = msgspec.json.encode({"error": refusal.kind.value, "detail": refusal.detail})
     headers: Headers = [
         (b"content-type", b"application/json"),
--- a/src/chicorylead/platform/settings_file.py
+++ b/src/chicorylead/platform/settings_file.py
@@ -114,6 +114,7 @@
         # The first port of the range takes datagrams of peers, and over TCP the
         # page of metrics.
         peers=(file.ip, first_port),
+        metrics=(file.ip, first_port),
         seeds=tuple(_address(seed)[0] for seed in file.seeds),
         store=_address(file.platform.address),
         max_descriptors=file.limits.max_fds,
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -196,8 +196,9 @@
 
 
 def gateway_on(store: FakeStore, ports: list[int]) -> Gateway:
-    """Return a gateway that listens on five free ports."""
-    callers, readiness, control, directory, peers = (("127.0.0.1", p) for p in ports)
+    """Return a gateway that listens on six free ports."""
+    addresses = [("127.0.0.1", port) for port in ports]
+    callers, readiness, control, directory, peers, metrics = addresses
     cfg = GatewaySettings(
         id=RouterId("router-1"),
         zone=ZoneName("a"),
@@ -207,6 +208,7 @@
         control=control,
         directory=directory,
         peers=peers,
+        metrics=metrics,
         seeds=(),
         store=("127.0.0.1", store.port),
         bounds=Bounds(shutdown_s=4.0),
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -138,19 +138,19 @@
         router = self._routers[number]
         name = OrganisationId(arrival.organisation)
         tokens = float(arrival.prompt.n_tokens)
-        router.shares.note(name, asked=tokens, admitted=0.0)
         placement = place(router.upstreams, arrival.prompt, router.speed, self.now)
         demand = Demand(
             shortest_objective_s=arrival.objective_s,
             waited_s=0.0,
-            standing=router.shares.standing(name, None),
+            standing=router.shares.standing(name),
             overload=router.shares.overload(),
         )
         match self._decide(placement, demand, self._rng):
             case Admit():
-                router.shares.note(name, asked=0.0, admitted=tokens)
+                router.shares.note(name, asked=tokens, admitted=tokens)
                 self._send(number, placement, arrival, tally)
             case _:
+                router.shares.note(name, asked=tokens, admitted=0.0)
                 tally.refused += 1
         self._at(self.now + 0.1, lambda: self._tell_usage(number))
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -42,7 +42,7 @@
 
     def __init__(self, scripts: list[Callable[[Received, Writer], Awaitable[None]]]):
         self.upstreams = [FakeUpstream(script) for script in scripts]
-        self.ports = _free_ports(5)
+        self.ports = _free_ports(6)
 
     async def __aenter__(self) -> "Fleet":
         self.store = FakeStore()
@@ -361,3 +361,13 @@
         assert 0 < answer["ttlS"] <= 5
 
     _run([_serve], check)
+
+
+def test_metrics_tell_what_was_sent():
+    async def check(fleet: Fleet) -> None:
+        await fleet.call("/look/a")
+        _, _, page, _ = await call(fleet.ports[5], "/metrics")
+        assert b"chicorylead_sends_served_total 1.0" in page
+        assert b"chicorylead_request_seconds_bucket" in page
+
+    _run([_serve], check)
