Count requests without tokens in organisations' usage

Ruled out: the store. Change: requests are counted; a defect in a request is logged with its place. Test: any usage enters and leaves the window (KeyError before).

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -23,10 +23,12 @@
     Attributes:
         asked: Tokens of all its requests.
         admitted: Tokens of the requests that were sent on.
+        n_events: Requests that make up these tokens.
     """
 
     asked: float = 0.0
     admitted: float = 0.0
+    n_events: int = 0
 
 
 def max_min_level(demands: Mapping[object, float], capacity: float) -> float:
@@ -68,6 +70,7 @@
         usage = self._own.setdefault(organisation, Usage())
         usage.asked += asked
         usage.admitted += admitted
+        usage.n_events += 1
         self._forget(now - self._window_s)
 
     def note_peer(self, peer: str, usage: dict[OrganisationId, Usage]) -> None:
@@ -119,5 +122,6 @@
             usage = self._own[organisation]
             usage.asked -= asked
             usage.admitted -= admitted
-            if usage.asked < 1.0 and usage.admitted < 1.0:
+            usage.n_events -= 1
+            if usage.n_events == 0:
                 del self._own[organisation]
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Takes requests of callers, checks them and has them forwarded."""
 
 import asyncio
+import traceback
 from collections.abc import Callable
 from random import Random
 
@@ -91,6 +92,19 @@
                 request=head.request_id if head else None,
                 after_s=self._clock() - started,
             )
+        except Exception as exc:
+            # A defect must not look like an answer that promises anything.
+            self._metrics.count("requests.defects")
+            self._log.error(
+                "request_defect",
+                request=head.request_id if head else None,
+                reason=repr(exc),
+                where=_innermost(exc),
+            )
+            if not reply.is_started:
+                await reply.whole(
+                    *encode_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
+                )
         self._metrics.timing("request", self._clock() - started)
 
     async def _refuse(
@@ -201,6 +215,12 @@
             return b"".join(parts)
 
 
+def _innermost(exc: Exception) -> str:
+    """Return where an exception was raised."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+
+
 def _organisation(
     cfg: Configuration, operation: Operation, head: CallerHead
 ) -> OrganisationId | None:
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -117,6 +117,18 @@
     assert shares.standing(big) == 0.0
 
 
+@given(st.lists(st.tuples(st.floats(0, 3), st.sampled_from("abc"), st.floats(0, 9))))
+def test_usage_of_any_size_enters_and_leaves_the_window(events):
+    """Requests without tokens count as requests too."""
+    now = [0.0]
+    shares = FairShare(4.0, lambda: now[0])
+    for step_s, name, tokens in events:
+        now[0] += step_s
+        shares.note(OrganisationId(name), asked=tokens, admitted=0.0)
+    now[0] += 5.0
+    assert shares.own() == {}
+
+
 def test_nobody_is_beyond_a_share_while_all_is_admitted():
     shares = FairShare(4.0, lambda: 0.0)
     name = OrganisationId("only")
