Split admission from forwarding; pass on a failure that an upstream gave

Read-through: the gateway's admission stands in one module, constants that had no effect and settings that nobody read are gone, a body is bounded also before the first configuration. A failed answer is kept and passed on if a further send gives none.

--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -13,20 +13,16 @@
 
 __all__ = ["Admit", "Demand", "Refuse", "decide"]
 
-# Engines are busy while anything waits; a longer queue only makes answers late.
-# Part of the shortest objective that a request may wait before it is read.
+# Part of the shortest objective that a request may wait before it is read. Engines are
+# busy while anything waits; a longer queue only makes answers late.
 QUEUE_SHARE = 0.2
-# An organisation that has had its share leaves this part of the queue to others.
+# An organisation that has had its share leaves the rest of the queue to others.
 QUEUE_BEYOND_SHARE = 0.05
-STANDING_MET = 0.8  # from here to its whole share an organisation is slowed down
+STANDING_MET = 0.8  # from here to beyond its share an organisation is slowed down
 STANDING_BEYOND = 1.2
-# A caller that was refused before has no further try, but can rarely be in time.
-QUEUE_RETURNED = 1.0
 RETURN_MIN_S = 0.1  # several round trips, so that something has changed by then
 RETURN_MAX_S = 4.0  # callers honour a third of the time that they have left
 RETURN_SPREAD = 0.5  # callers refused together come back spread over this part
-RETURN_OVERLOAD_S = 0.0  # a crest of demand lasts for some seconds
-OVERLOAD_MIN = 1.2  # demand over throughput; below it a clump is over in a moment
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,15 +32,11 @@
     Attributes:
         shortest_objective_s: Shortest objective of the operations that share the
             upstreams, seconds.
-        waited_s: Time since the caller's first attempt, seconds.
         standing: What its organisation got, relative to its share.
-        overload: What all ask for, relative to what is admitted.
     """
 
     shortest_objective_s: float
-    waited_s: float
     standing: float
-    overload: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,25 +65,17 @@
     is_idle = placement.upstream.work.total().n_requests == 0
     if is_idle or (placement.queue_s <= limit_s and placement.has_room):
         return Admit(placement)
-    return Refuse(_back_s(placement.queue_s - limit_s, demand, rng), limit_s)
+    return Refuse(_back_s(placement.queue_s - limit_s, rng), limit_s)
 
 
 def _limit_s(demand: Demand) -> float:
-    share = QUEUE_SHARE * demand.shortest_objective_s
-    if demand.waited_s > 0.0:
-        share *= QUEUE_RETURNED
     beyond = (demand.standing - STANDING_MET) / (STANDING_BEYOND - STANDING_MET)
     beyond = min(max(beyond, 0.0), 1.0)
-    return share * (1.0 - beyond * (1.0 - QUEUE_BEYOND_SHARE))
+    share = QUEUE_SHARE * (1.0 - beyond * (1.0 - QUEUE_BEYOND_SHARE))
+    return share * demand.shortest_objective_s
 
 
-def _back_s(excess_s: float, demand: Demand, rng: Random) -> float:
-    """Return when the caller is to come back, seconds.
-
-    After a clump there is room as soon as it is read; a crest of demand has to
-    pass, and a caller that came back earlier would only be refused again.
-    """
-    back_s = max(excess_s, RETURN_MIN_S)
-    if demand.overload > OVERLOAD_MIN:
-        back_s += RETURN_OVERLOAD_S * (demand.overload - OVERLOAD_MIN)
-    return min(back_s, RETURN_MAX_S) * (1.0 + RETURN_SPREAD * rng.random())
+def _back_s(excess_s: float, rng: Random) -> float:
+    """Return when the caller is to come back: once what is too much is read."""
+    back_s = min(max(excess_s, RETURN_MIN_S), RETURN_MAX_S)
+    return back_s * (1.0 + RETURN_SPREAD * rng.random())
--- /dev/null
+++ b/src/chicorylead/gateway/admission.py
@@ -0,0 +1,138 @@
+"""Joins the admission decisions with what this router knows."""
+
+import asyncio
+from collections.abc import Callable, Set
+from random import Random
+
+from chicorylead.admission.cost import service_of
+from chicorylead.admission.fair_share import FairShare
+from chicorylead.admission.gate import Admit, Demand, Refuse, decide
+from chicorylead.admission.placement import Placement, place
+from chicorylead.admission.speed import ServiceSpeed
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.ids import ServiceName, UpstreamId
+from chicorylead.logs import EventLog
+from chicorylead.traffic.request import ForwardRequest
+from chicorylead.upstream.live import LiveUpstream
+from chicorylead.upstream.registry import Registry
+
+__all__ = ["NO_UPSTREAM_RETRY_S", "Admission"]
+
+NO_UPSTREAM_RETRY_S = 0.5  # upstreams that restart are listed within about a second
+NONE_EXCLUDED: frozenset[UpstreamId] = frozenset()
+
+
+class Admission:
+    """Pick upstreams for requests, and refuse what cannot be in time.
+
+    Args:
+        registry: Upstreams that may get work.
+        shares: Usage of organisations.
+        shortest_objective_s: Returns the shortest objective of a service, seconds.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        shares: FairShare,
+        shortest_objective_s: Callable[[ServiceName], float],
+        log: EventLog,
+        rng: Random,
+    ) -> None:
+        self._registry = registry
+        self._shares = shares
+        self._shortest_objective_s = shortest_objective_s
+        self._log = log
+        self._rng = rng
+        self._clock = asyncio.get_running_loop().time
+        self._speeds: dict[ServiceName, ServiceSpeed] = {}
+
+    def speed(self, service: ServiceName) -> ServiceSpeed:
+        """Return the speeds of a service, which learn from its answers."""
+        return self._speeds.setdefault(service, ServiceSpeed())
+
+    def place(
+        self, req: ForwardRequest, excluded: Set[UpstreamId] = NONE_EXCLUDED
+    ) -> Placement | None:
+        """Return the best upstream; an excluded one only if there is no other."""
+        candidates = self._candidates(req.service, excluded)
+        if not candidates:
+            candidates = self._candidates(req.service, NONE_EXCLUDED)
+        return place(
+            candidates, req.head.prompt, self.speed(req.service), self._clock()
+        )
+
+    def admit(self, req: ForwardRequest) -> Placement:
+        """Return the upstream for a request that is new here.
+
+        Raises:
+            Refusal: No upstream can take it in time.
+        """
+        placement = self.place(req)
+        if placement is None:
+            raise Refusal(
+                ErrorKind.NO_UPSTREAM,
+                f"no upstream of {req.service!r} is listed",
+                NO_UPSTREAM_RETRY_S,
+            )
+        demand = self._demand(req)
+        verdict = decide(placement, demand, self._rng)
+        self._note_usage(req, isinstance(verdict, Admit))
+        match verdict:
+            case Admit(placement=admitted):
+                return admitted
+            case Refuse() as refuse:
+                self._log_refused(req, placement, demand, refuse)
+                raise Refusal(
+                    ErrorKind.QUEUE_FULL,
+                    f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
+                    refuse.retry_after_s,
+                )
+
+    def _candidates(
+        self, service: ServiceName, excluded: Set[UpstreamId]
+    ) -> list[LiveUpstream]:
+        now = self._clock()
+        listed = [u for u in self._registry.ready(service) if u.id not in excluded]
+        opened = [upstream for upstream in listed if upstream.is_open(now)]
+        # When all have failed the fault is elsewhere, and any is as good.
+        return opened or listed
+
+    def _demand(self, req: ForwardRequest) -> Demand:
+        standing = 0.0
+        if req.organisation is not None and req.head.prompt is not None:
+            standing = self._shares.standing(req.organisation)
+        return Demand(self._shortest_objective_s(req.service), standing)
+
+    def _note_usage(self, req: ForwardRequest, is_admitted: bool) -> None:
+        """Note what an organisation asks for; a caller that is back asked before."""
+        if req.organisation is None:
+            return
+        tokens = service_of(req.head.prompt)
+        self._shares.note(
+            req.organisation,
+            asked=tokens if req.waited_s == 0.0 else 0.0,
+            admitted=tokens if is_admitted else 0.0,
+        )
+
+    def _log_refused(
+        self,
+        req: ForwardRequest,
+        placement: Placement,
+        demand: Demand,
+        refuse: Refuse,
+    ) -> None:
+        self._log.info(
+            "request_refused",
+            request=req.id,
+            operation=req.operation.name,
+            organisation=req.organisation,
+            upstream=placement.upstream.id,
+            queue_s=placement.queue_s,
+            limit_s=refuse.limit_s,
+            has_room=placement.has_room,
+            standing=demand.standing,
+            overload=self._shares.overload(),
+            waited_s=req.waited_s,
+            retry_after_s=refuse.retry_after_s,
+        )
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -13,6 +13,7 @@
 from chicorylead.admission.fair_share import FairShare, Usage
 from chicorylead.application import Application
 from chicorylead.errors import Refusal
+from chicorylead.gateway.admission import Admission
 from chicorylead.gateway.directory import Directory
 from chicorylead.gateway.follower import OnRecord, OnSnapshot, StreamFollower
 from chicorylead.gateway.forward import Forwarder
@@ -107,17 +108,17 @@
         self._peer_records = PeerRecords(
             self._followers, self._link.live, self.log, self._metrics
         )
+        admission = Admission(
+            self._registry, self._shares, self._shortest_objective_s, self.log, rng
+        )
         forwarder = Forwarder(
-            self._registry,
-            self._shares,
+            admission,
             self._poison,
             cfg.bounds,
-            self._shortest_objective_s,
             self._link.note_sent,
             lambda: 1 + len(self._link.live()),
             self.log,
             self._metrics,
-            rng,
         )
         self._ingress = Ingress(
             forwarder,
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -1,17 +1,13 @@
-"""Carries a request to an upstream: admission, sends, repeats, resumption."""
+"""Carries an admitted request to upstreams: sends, repeats, resumption."""
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from random import Random
 
-from chicorylead.admission.cost import service_of
-from chicorylead.admission.fair_share import FairShare
-from chicorylead.admission.gate import Admit, Demand, Refuse, decide
-from chicorylead.admission.placement import Placement, place
+from chicorylead.admission.placement import Placement
 from chicorylead.admission.retry_budget import RetryBudget
-from chicorylead.admission.speed import ServiceSpeed
 from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.gateway.admission import NO_UPSTREAM_RETRY_S, Admission
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
@@ -26,7 +22,6 @@
 from chicorylead.upstream.connection import Failure, FailureKind, open_connection
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
-from chicorylead.upstream.registry import Registry
 
 __all__ = ["Forwarder"]
 
@@ -36,7 +31,6 @@
 MIN_LEFT_S = 0.03  # below this no upstream can answer in time
 SUSPECT_TTL_S = 60.0  # callers of such a request come back within seconds
 CRASH_PROBE_S = 0.5  # a live upstream takes a connection within a few milliseconds
-NO_UPSTREAM_RETRY_S = 0.5  # upstreams that restart are listed within about a second
 
 
 @dataclass(slots=True)
@@ -55,40 +49,31 @@
     """Carry requests to upstreams.
 
     Args:
-        registry: Upstreams that may get work.
-        shares: Usage of organisations.
+        admission: Picks upstreams, and refuses what cannot be in time.
         poison: Requests under which upstreams crashed.
         bounds: Budget of repeated sends.
-        shortest_objective_s: Returns the shortest objective of a service, seconds.
         on_sent: Called with each prompt that is sent to an engine.
         n_routers: Returns the number of routers that share budgets.
     """
 
     def __init__(
         self,
-        registry: Registry,
-        shares: FairShare,
+        admission: Admission,
         poison: PoisonList,
         bounds: Bounds,
-        shortest_objective_s: Callable[[ServiceName], float],
         on_sent: OnSent,
         n_routers: Callable[[], int],
         log: EventLog,
         metrics: Metrics,
-        rng: Random,
     ) -> None:
-        self._registry = registry
-        self._shares = shares
+        self._admission = admission
         self._poison = poison
         self._bounds = bounds
-        self._shortest_objective_s = shortest_objective_s
         self._on_sent = on_sent
         self._n_routers = n_routers
         self._log = log
         self._metrics = metrics
-        self._rng = rng
         self._clock = asyncio.get_running_loop().time
-        self._speeds: dict[ServiceName, ServiceSpeed] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
@@ -106,14 +91,21 @@
         if self._poison.is_convicted(progress.fingerprint):
             raise Refusal(ErrorKind.POISON, "upstreams crashed under this request")
         self._budget(req.service).note_request()
-        placement = self._admit(req)
-        while not await self._send(req, placement, progress, reply):
-            placement = self._place_again(req, progress)
-
-    # -- choice
+        placement = self._admission.admit(req)
+        try:
+            while not await self._send(req, placement, progress, reply):
+                placement = self._place_again(req, progress)
+        except Refusal:
+            # An answer that an upstream has given is passed on, a failure as well.
+            if progress.rejected is None or reply.is_started:
+                raise
+            await self._pass_rejected(progress.rejected, reply)
 
-    def _speed(self, service: ServiceName) -> ServiceSpeed:
-        return self._speeds.setdefault(service, ServiceSpeed())
+    def _place_again(self, req: ForwardRequest, progress: _Progress) -> Placement:
+        placement = self._admission.place(req, progress.excluded)
+        if placement is None:
+            raise self._end(progress, ErrorKind.NO_UPSTREAM, "no upstream is left")
+        return placement
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -126,95 +118,6 @@
             )
         return budget
 
-    def _candidates(
-        self, service: ServiceName, excluded: set[UpstreamId]
-    ) -> list[LiveUpstream]:
-        now = self._clock()
-        listed = [u for u in self._registry.ready(service) if u.id not in excluded]
-        opened = [upstream for upstream in listed if upstream.is_open(now)]
-        # When all have failed the fault is elsewhere, and any is as good.
-        return opened or listed
-
-    def _admit(self, req: ForwardRequest) -> Placement:
-        candidates = self._candidates(req.service, set())
-        placement = place(
-            candidates, req.head.prompt, self._speed(req.service), self._clock()
-        )
-        if placement is None:
-            raise Refusal(
-                ErrorKind.NO_UPSTREAM,
-                f"no upstream of {req.service!r} is listed",
-                NO_UPSTREAM_RETRY_S,
-            )
-        demand = self._demand(req)
-        verdict = decide(placement, demand, self._rng)
-        self._note_usage(req, isinstance(verdict, Admit))
-        match verdict:
-            case Admit(placement=admitted):
-                return admitted
-            case Refuse() as refuse:
-                self._log_refused(req, placement, demand, refuse)
-                raise Refusal(
-                    ErrorKind.QUEUE_FULL,
-                    f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
-                    refuse.retry_after_s,
-                )
-
-    def _note_usage(self, req: ForwardRequest, is_admitted: bool) -> None:
-        """Note what an organisation asks for; a caller that is back asked before."""
-        if req.organisation is None:
-            return
-        tokens = service_of(req.head.prompt)
-        self._shares.note(
-            req.organisation,
-            asked=tokens if req.waited_s == 0.0 else 0.0,
-            admitted=tokens if is_admitted else 0.0,
-        )
-
-    def _demand(self, req: ForwardRequest) -> Demand:
-        standing = 0.0
-        if req.organisation is not None and req.head.prompt is not None:
-            standing = self._shares.standing(req.organisation)
-        return Demand(
-            shortest_objective_s=self._shortest_objective_s(req.service),
-            waited_s=req.waited_s,
-            standing=standing,
-            overload=self._shares.overload(),
-        )
-
-    def _log_refused(
-        self,
-        req: ForwardRequest,
-        placement: Placement,
-        demand: Demand,
-        refuse: Refuse,
-    ) -> None:
-        self._log.info(
-            "request_refused",
-            request=req.id,
-            operation=req.operation.name,
-            organisation=req.organisation,
-            upstream=placement.upstream.id,
-            queue_s=placement.queue_s,
-            limit_s=refuse.limit_s,
-            has_room=placement.has_room,
-            standing=demand.standing,
-            overload=demand.overload,
-            waited_s=demand.waited_s,
-            retry_after_s=refuse.retry_after_s,
-        )
-
-    def _place_again(self, req: ForwardRequest, progress: _Progress) -> Placement:
-        candidates = self._candidates(req.service, progress.excluded)
-        if not candidates:
-            candidates = self._candidates(req.service, set())
-        placement = place(
-            candidates, req.head.prompt, self._speed(req.service), self._clock()
-        )
-        if placement is None:
-            raise self._end(progress, ErrorKind.NO_UPSTREAM, "no upstream is left")
-        return placement
-
     # -- sends
 
     async def _send(
@@ -237,7 +140,7 @@
         sender = Sender(
             req,
             placement,
-            self._speed(req.service),
+            self._admission.speed(req.service),
             progress.events,
             reply,
             first_s,
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -14,7 +14,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.platform.caller import decode_head, encode_refusal
-from chicorylead.traffic.model import Configuration, Operation
+from chicorylead.traffic.model import CallerLimits, Configuration, Operation
 from chicorylead.traffic.request import CallerHead, ForwardRequest
 from chicorylead.upstream.connection import Failure
 
@@ -131,8 +131,8 @@
             Refusal: The request is not allowed.
         """
         cfg = self._configuration()
-        limit = cfg.limits.body_bytes if cfg is not None else 0
-        body = await _read_body(receive, limit)
+        limits = cfg.limits if cfg is not None else CallerLimits()
+        body = await _read_body(receive, limits.body_bytes)
         arrived_at = self._clock()
         # The configuration may have changed while the body came in.
         cfg = self._configuration()
@@ -209,7 +209,7 @@
             raise _CallerGone
         parts.append(message.get("body", b""))
         n_bytes += len(parts[-1])
-        if n_bytes > limit > 0:
+        if n_bytes > limit:
             raise Refusal(ErrorKind.TOO_LARGE, f"a body of over {limit} bytes")
         if not message.get("more_body"):
             return b"".join(parts)
--- a/src/chicorylead/gateway/settings.py
+++ b/src/chicorylead/gateway/settings.py
@@ -14,24 +14,20 @@
     """Figures that the operators promise to their users.
 
     Attributes:
-        drain_s: An upstream that leaves gets no new work after this, seconds.
         shutdown_s: Time between the signal to end and the kill, seconds.
         retry_ratio: Repeated sends allowed for each request of a service.
         retry_window_s: Span over which repeated sends are counted, seconds.
         retry_slack: Repeated sends allowed besides, over the whole fleet.
         share_window_s: Span over which organisations' shares are owed, seconds.
         address_lifetime_s: Longest time for which callers keep an address, seconds.
-        prefix_reuse_s: Time for which a part of a prompt is worth keeping, seconds.
     """
 
-    drain_s: float = 2.0
     shutdown_s: float = 8.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     share_window_s: float = 4.0
     address_lifetime_s: float = 5.0
-    prefix_reuse_s: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +43,6 @@
         metrics: Where counters and histograms are read.
         seeds: IP numbers of some peers.
         store: The platform's store.
-        max_descriptors: Descriptors that the process may have.
         seed: Start of the random numbers.
     """
 
@@ -62,6 +57,5 @@
     metrics: Address
     seeds: tuple[str, ...]
     store: Address
-    max_descriptors: int = 6000
     seed: int = 1
     bounds: Bounds = field(default_factory=Bounds)
--- a/src/chicorylead/platform/settings_file.py
+++ b/src/chicorylead/platform/settings_file.py
@@ -29,20 +29,12 @@
     directory: str
 
 
-class _Limits(_Camel, frozen=True):
-    memory_mb: float
-    max_fds: int
-
-
 class _Bounds(_Camel, frozen=True):
-    seed_lag_s: float = 3.0
-    drain_ms: float = 2000.0
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     quota_window_s: float = 4.0
-    reuse_window_s: float = 10.0
     # Written without the capitals of the other names.
     ttl_max_s: float = msgspec.field(default=5.0, name="ttl_max_s")
 
@@ -60,11 +52,8 @@
     port_range: tuple[Port, Port]
     # Control addresses of some VMs, this one perhaps among them.
     seeds: list[str]
-    limits: _Limits
     platform: _Store
     bounds: _Bounds = _Bounds()
-    # True only at the first start of the whole fleet.
-    bootstrap: bool = False
 
 
 def settings_path() -> Path:
@@ -117,16 +106,13 @@
         metrics=(file.ip, first_port),
         seeds=tuple(_address(seed)[0] for seed in file.seeds),
         store=_address(file.platform.address),
-        max_descriptors=file.limits.max_fds,
         bounds=Bounds(
-            drain_s=file.bounds.drain_ms / 1000,
             shutdown_s=file.bounds.grace_s,
             retry_ratio=file.bounds.retry_ratio,
             retry_window_s=file.bounds.retry_window_s,
             retry_slack=file.bounds.retry_slack,
             share_window_s=file.bounds.quota_window_s,
             address_lifetime_s=file.bounds.ttl_max_s,
-            prefix_reuse_s=file.bounds.reuse_window_s,
         ),
     )
 
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -141,9 +141,7 @@
         placement = place(router.upstreams, arrival.prompt, router.speed, self.now)
         demand = Demand(
             shortest_objective_s=arrival.objective_s,
-            waited_s=0.0,
             standing=router.shares.standing(name),
-            overload=router.shares.overload(),
         )
         match self._decide(placement, demand, self._rng):
             case Admit():
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -29,7 +29,7 @@
     "seeds": ["10.0.0.2:3"],
     "limits": {"memoryMb": 200, "maxFds": 6000},
     "platform": {"address": "10.9.0.1:5"},
-    "bounds": {"drainMs": 2500, "graceS": 9, "ttl_max_s": 4},
+    "bounds": {"graceS": 9, "retryWindowS": 12, "ttl_max_s": 4},
     "unknown": {"field": 1},
 }
 
@@ -40,8 +40,8 @@
     assert cfg.peers == ("10.0.0.1", 7400)
     assert cfg.seeds == ("10.0.0.2",)
     assert cfg.store == ("10.9.0.1", 5)
-    assert cfg.bounds.drain_s == 2.5
     assert cfg.bounds.shutdown_s == 9.0
+    assert cfg.bounds.retry_window_s == 12.0
     assert cfg.bounds.address_lifetime_s == 4.0
 
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -203,6 +203,20 @@
     _run([script, _serve], check)
 
 
+async def _fail(got: Received, writer: Writer) -> None:
+    writer.write(sealed(got, b"failed", status="500 Error"))
+
+
+def test_an_upstream_s_failure_is_passed_on_when_no_other_answer_comes():
+    async def check(fleet: Fleet) -> None:
+        for _ in range(4):
+            status, headers, body, _ = await fleet.call("/look/a")
+            assert (status, body) == (500, b"failed")
+            assert headers["chicorylead-response-seal"] == "1.2.3"
+
+    _run([_fail, _reset], check)
+
+
 def test_a_shed_request_is_refused_as_not_run_when_no_upstream_takes_it():
     async def check(fleet: Fleet) -> None:
         status, headers, _, _ = await fleet.call("/publish/a", method="POST", body=b"x")
