--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -16,7 +16,16 @@
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RouterId, ZoneName
 
-__all__ = ["FakeStore", "FakeUpstream", "Received", "call", "gateway_on", "sealed"]
+__all__ = [
+    "FakeStore",
+    "FakeUpstream",
+    "Received",
+    "call",
+    "configuration",
+    "entry",
+    "gateway_on",
+    "sealed",
+]
 
 HOST = "phrases.example"
 KEY = "key-of-north"
@@ -217,7 +226,12 @@
 
 
 async def call(
-    port: int, path: str, method: str = "GET", body: bytes = b"", **headers: str
+    port: int,
+    path: str,
+    method: str = "GET",
+    body: bytes = b"",
+    host_ip: str = "127.0.0.1",
+    **headers: str,
 ) -> tuple[int, dict[str, str], bytes, bool]:
     """Send one request; return status, headers, body and whether it came whole."""
     lines = {
@@ -230,7 +244,7 @@
     if body:
         lines["content-length"] = str(len(body))
     head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(host_ip, port)
     writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
     try:
         return await _answer(reader)
