--- a/src/chicorylead/admission/cost.py
+++ b/src/chicorylead/admission/cost.py
@@ -1,7 +1,6 @@
 """Work that a request puts on an upstream, before it has run."""
 
 from chicorylead.traffic.request import Prompt
-from chicorylead.upstream.prefix_memory import PrefixMemory
 from chicorylead.upstream.work import Work
 
 __all__ = ["GENERATED_WEIGHT", "expected_output_tokens", "expected_work", "service_of"]
@@ -17,14 +16,13 @@
     return OUTPUT_SHARE * prompt.max_output_tokens
 
 
-def expected_work(prompt: Prompt | None, prefixes: PrefixMemory | None) -> Work:
-    """Return the work of a request at one upstream.
+def expected_work(prompt: Prompt | None) -> Work:
+    """Return the work of a request at an upstream.
 
     Args:
         prompt: The prompt; None for a plain request.
-        prefixes: What the upstream keeps of prompts.
     """
-    if prompt is None or prefixes is None:
+    if prompt is None:
         return Work(n_requests=1)
     return Work(
         held_tokens=prompt.n_tokens + expected_output_tokens(prompt),
--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -14,6 +14,7 @@
 
 
 ALL_SERVED = 0.9  # beyond it what is refused is a clump, not a lack of capacity
+SUMMARY_AGE_S = 0.02  # a two-hundredth of the usual window
 
 
 @dataclass(slots=True)
@@ -48,6 +49,26 @@
     return float("inf")
 
 
+class _Summary:
+    """What all organisations asked for and got, and the share that follows.
+
+    Attributes:
+        totals: Usage of each one at all routers.
+        overload: What all asked for, relative to what was admitted.
+        is_all_served: Whether nearly all was admitted.
+        level: Amount to which demands can be met.
+    """
+
+    def __init__(self, totals: dict[OrganisationId, Usage]) -> None:
+        self.totals = totals
+        asked = sum(usage.asked for usage in totals.values())
+        admitted = sum(usage.admitted for usage in totals.values())
+        self.overload = asked / max(admitted, 1.0)
+        self.is_all_served = admitted > ALL_SERVED * asked
+        demands = {name: usage.asked for name, usage in totals.items()}
+        self.level = max_min_level(demands, admitted)
+
+
 class FairShare:
     """Usage of this router and of its peers over a sliding window.
 
@@ -62,6 +83,8 @@
         self._events: deque[tuple[float, OrganisationId, float, float]] = deque()
         self._own: dict[OrganisationId, Usage] = {}
         self._peers: dict[str, dict[OrganisationId, Usage]] = {}
+        self._summary = _Summary({})
+        self._summed_at = -SUMMARY_AGE_S
 
     def note(self, organisation: OrganisationId, asked: float, admitted: float) -> None:
         """Note tokens that were asked for or admitted at this router."""
@@ -91,21 +114,22 @@
         It is 0 while nearly all that is asked for is admitted. Otherwise what is
         admitted is what the fleet can do.
         """
-        totals = self._totals()
-        mine = totals.get(organisation)
-        asked = sum(usage.asked for usage in totals.values())
-        admitted = sum(usage.admitted for usage in totals.values())
-        if mine is None or mine.asked <= 0.0 or admitted > ALL_SERVED * asked:
+        summary = self._summarise()
+        mine = summary.totals.get(organisation)
+        if mine is None or mine.asked <= 0.0 or summary.is_all_served:
             return 0.0
-        demands = {name: usage.asked for name, usage in totals.items()}
-        due = min(mine.asked, max_min_level(demands, admitted))
-        return mine.admitted / max(due, 1.0)
+        return mine.admitted / max(min(mine.asked, summary.level), 1.0)
 
     def overload(self) -> float:
         """Return what all ask for, relative to what is admitted."""
-        totals = self._totals().values()
-        admitted = sum(usage.admitted for usage in totals)
-        return sum(usage.asked for usage in totals) / max(admitted, 1.0)
+        return self._summarise().overload
+
+    def _summarise(self) -> _Summary:
+        now = self._clock()
+        if now - self._summed_at >= SUMMARY_AGE_S:
+            self._summary = _Summary(self._totals())
+            self._summed_at = now
+        return self._summary
 
     def _totals(self) -> dict[OrganisationId, Usage]:
         totals: dict[OrganisationId, Usage] = {}
--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -62,7 +62,7 @@
 def decide(placement: Placement, demand: Demand, rng: Random) -> Admit | Refuse:
     """Return whether a request is sent to the upstream that was picked for it."""
     limit_s = _limit_s(demand)
-    is_idle = placement.upstream.work.total().n_requests == 0
+    is_idle = placement.upstream.work.n_requests == 0
     if is_idle or (placement.queue_s <= limit_s and placement.has_room):
         return Admit(placement)
     return Refuse(_back_s(placement.queue_s - limit_s, rng), limit_s)
--- a/src/chicorylead/admission/placement.py
+++ b/src/chicorylead/admission/placement.py
@@ -14,7 +14,6 @@
 from chicorylead.traffic.request import Prompt
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.work import Work
-from chicorylead.vm.rendezvous import hash64
 
 __all__ = ["Placement", "place"]
 
@@ -24,6 +23,10 @@
 HOME_BIAS_S = 0.03  # less than reading a shared part of typical length again
 FULL_WEIGHT_S = 5.0  # a full engine answers after requests that run for seconds
 MEMORY_SHARE = 0.9  # beyond it engines preempt requests in the middle of a stream
+CROWDING_S = 1e-4  # time of a step that one more request adds to an engine's
+CROWDING_SHARE = 0.01  # of an answer's time: breaks ties between plain upstreams
+_MIXER = 0x9E3779B97F4A7C15  # odd, with its bits spread evenly
+_MASK = 2**64 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,61 +63,85 @@
         speed: Speeds of the service.
         now: Event-loop time, seconds.
     """
-    best: Placement | None = None
-    best_price = float("inf")
+    work = expected_work(prompt)
     home = _home_key(prompt)
+    best: LiveUpstream | None = None
+    best_price = float("inf")
     for upstream in candidates:
-        placement = _at(upstream, prompt, speed, now)
-        price = _price(placement, home, speed)
+        if upstream.prefixes is None:
+            price = _plain_price(upstream, speed)
+        else:
+            price = _engine_price(upstream, prompt, work, home, now)
         if price < best_price:
-            best, best_price = placement, price
-    return best
+            best, best_price = upstream, price
+    return None if best is None else _placement(best, prompt, work, speed, now)
 
 
-def _at(
-    upstream: LiveUpstream, prompt: Prompt | None, speed: ServiceSpeed, now: float
+def _placement(
+    upstream: LiveUpstream,
+    prompt: Prompt | None,
+    work: Work,
+    speed: ServiceSpeed,
+    now: float,
 ) -> Placement:
-    work = expected_work(prompt, upstream.prefixes)
-    there = upstream.work.total()
-    n_slots = upstream.entry.n_slots
     if upstream.prefixes is None:
-        one_s = speed.answer_s * upstream.slowness
-        queue_s = one_s * max(0, there.n_requests + 1 - n_slots) / n_slots
-        return Placement(upstream, work, 0.0, queue_s, queue_s + one_s, has_room=True)
+        queue_s = _plain_queue_s(upstream, speed)
+        wait_s = queue_s + speed.answer_s * upstream.slowness
+        return Placement(upstream, work, 0.0, queue_s, wait_s, has_room=True)
     queue_s = upstream.backlog.wait_s(now)
-    unread = float(upstream.prefixes.missing_tokens(prompt)) if prompt else 0.0
+    unread = upstream.prefixes.missing_tokens(prompt) if prompt else 0
     reading_s = unread / upstream.backlog.tokens_per_s
-    memory = MEMORY_SHARE * upstream.prefixes.memory_tokens
-    has_room = (
-        there.n_requests < n_slots and there.held_tokens + work.held_tokens <= memory
-    )
     wait_s = queue_s + reading_s + speed.first_event_s
-    return Placement(upstream, work, unread, queue_s, wait_s, has_room)
+    has_room = _has_room(upstream, work)
+    return Placement(upstream, work, float(unread), queue_s, wait_s, has_room)
+
 
+def _has_room(upstream: LiveUpstream, work: Work) -> bool:
+    there = upstream.work
+    if there.n_requests >= upstream.entry.n_slots:
+        return False
+    memory = MEMORY_SHARE * upstream.memory_tokens
+    return there.held_tokens + work.held_tokens <= memory
 
-def _price(placement: Placement, home: str, speed: ServiceSpeed) -> float:
-    upstream = placement.upstream
-    price = placement.wait_s + FAILURE_WEIGHT_S * upstream.failure_rate
-    if not placement.has_room:
-        price += FULL_WEIGHT_S
-    if upstream.prefixes is not None:
-        reading_s = placement.unread_tokens / upstream.backlog.tokens_per_s
-        price += (READING_WEIGHT - 1.0) * reading_s
+
+def _plain_queue_s(upstream: LiveUpstream, speed: ServiceSpeed) -> float:
+    n_slots = upstream.entry.n_slots
+    n_before = max(0, upstream.work.n_requests + 1 - n_slots)
+    return speed.answer_s * upstream.slowness * n_before / n_slots
+
+
+def _plain_price(upstream: LiveUpstream, speed: ServiceSpeed) -> float:
+    crowding = upstream.slowness + CROWDING_SHARE * upstream.work.n_requests
+    return (
+        _plain_queue_s(upstream, speed)
+        + speed.answer_s * crowding
+        + FAILURE_WEIGHT_S * upstream.failure_rate
+    )
+
+
+def _engine_price(
+    upstream: LiveUpstream, prompt: Prompt | None, work: Work, home: int, now: float
+) -> float:
+    backlog = upstream.backlog
+    unread = upstream.prefixes.missing_tokens(prompt) if prompt else 0
+    price = (
+        backlog.wait_s(now)
+        + READING_WEIGHT * unread / backlog.tokens_per_s
+        + FAILURE_WEIGHT_S * upstream.failure_rate
         # All routers prefer the same engine for a part that none has sent yet.
-        price += HOME_BIAS_S * _distance(home, upstream.id)
-        price += upstream.work.total().n_requests * 1e-4
-    else:
-        price += speed.answer_s * upstream.work.total().n_requests * 1e-2
-    return price
+        + HOME_BIAS_S * _distance(home, upstream.key)
+        + CROWDING_S * upstream.work.n_requests
+    )
+    return price if _has_room(upstream, work) else price + FULL_WEIGHT_S
 
 
-def _home_key(prompt: Prompt | None) -> str:
-    """Return the longest part that requests share."""
+def _home_key(prompt: Prompt | None) -> int:
+    """Return a number for the longest part that requests share."""
     if prompt is None or len(prompt.parts) < 2:
-        return ""
-    return prompt.parts[-2].id
+        return 0
+    return int.from_bytes(prompt.parts[-2].id, "big")
 
 
-def _distance(key: str, upstream_id: str) -> float:
+def _distance(home: int, upstream: int) -> float:
     """Return a fixed pseudo-random number below 1 for a part and an engine."""
-    return hash64(key, upstream_id) / 2**64
+    return ((home ^ upstream) * _MIXER & _MASK) / 2**64
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from starlette.requests import Request
@@ -21,11 +21,12 @@
 from chicorylead.gateway.peer_records import PeerRecords
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.http_server import HttpServer
-from chicorylead.ids import OrganisationId, ServiceName, UpstreamId
+from chicorylead.ids import OrganisationId, PartId, ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
-from chicorylead.peer.beacon import Beacon, BeaconLink, Sends, UsageReport, WorkReport
+from chicorylead.peer.beacon import BeaconLink
+from chicorylead.peer.datagram import Beacon, Sends, UsageReport, WorkReport
 from chicorylead.platform.configuration import decode_configuration
 from chicorylead.platform.registry import decode_upstream
 from chicorylead.platform.store import StoreClient
@@ -33,6 +34,7 @@
 from chicorylead.traffic.model import Configuration
 from chicorylead.traffic.request import PromptPart
 from chicorylead.traffic.stream import Stream, StreamRecord
+from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.registry import Registry
 from chicorylead.upstream.work import NO_WORK, Work
 
@@ -115,7 +117,7 @@
             admission,
             self._poison,
             cfg.bounds,
-            self._link.note_sent,
+            self._note_sent,
             lambda: 1 + len(self._link.live()),
             self.log,
             self._metrics,
@@ -210,7 +212,6 @@
         self.log.info("drain_begins", in_flight=self._ingress.n_in_flight)
         self._is_draining = True
         self._update_readiness()
-        self._link.send()
         ends_at = started + DRAIN_END_SHARE * self._cfg.bounds.shutdown_s
         await asyncio.sleep(DRAIN_SERVE_S)
         self._is_refusing = True
@@ -268,6 +269,7 @@
         if is_ready != self._directory.is_ready:
             self._directory.is_ready = is_ready
             self.log.info("readiness", ready=is_ready)
+            self._link.send()
 
     def _shortest_objective_s(self, service: ServiceName) -> float:
         cfg = self._configuration
@@ -280,17 +282,9 @@
     # -- peers
 
     def _make_beacon(self, sequence: int, peers: list[str]) -> Beacon:
-        work = [
-            WorkReport(
-                u.id,
-                u.backlog.own_total,
-                u.work.own.held_tokens,
-                u.work.own.n_requests,
-            )
-            for u in self._registry.all()
-        ]
+        work = [_work_report(upstream) for upstream in self._registry.all()]
         usage = [
-            UsageReport(name, used.asked, used.admitted)
+            UsageReport(name, round(used.asked), round(used.admitted))
             for name, used in self._shares.own().items()
         ]
         return Beacon(
@@ -310,15 +304,13 @@
         )
 
     def _on_beacon(self, beacon: Beacon) -> None:
-        now = self._clock()
         told = {report.upstream: report for report in beacon.work}
         for upstream in self._registry.all():
             report = told.get(upstream.id)
-            work = NO_WORK
             if report is not None:
-                work = Work(report.held_tokens, report.n_requests)
-                upstream.backlog.note_peer_total(beacon.id, report.sent_tokens, now)
-            upstream.work.note_peer(beacon.id, work)
+                self._take_work(upstream, beacon.id, report)
+            else:
+                upstream.work.note_peer(beacon.id, NO_WORK)
         self._shares.note_peer(
             beacon.id,
             {
@@ -332,17 +324,25 @@
                     "suspect_told", peer=beacon.id, fingerprint=notice.fingerprint
                 )
 
-    def _on_sends(self, sends: Sends) -> None:
-        now = self._clock()
+    def _take_work(self, upstream: LiveUpstream, peer: str, report: WorkReport) -> None:
+        work = Work(float(report.held_tokens), report.n_requests)
+        upstream.work.note_peer(peer, work)
+        upstream.backlog.note_peer_total(peer, report.sent_tokens, self._clock())
+
+    def _on_sends(self, peer: str, sends: Sends) -> None:
         for report in sends.reports:
-            upstream = self._registry.get(UpstreamId(report.upstream))
+            upstream = self._registry.get(UpstreamId(report.work.upstream))
             if upstream is None:
                 continue
-            upstream.backlog.note_peer_total(sends.id, report.sent_tokens, now)
+            self._take_work(upstream, peer, report.work)
             if upstream.prefixes is not None:
-                parts = [PromptPart(*part) for part in report.parts]
+                parts = [PromptPart(PartId(id_), n) for id_, n in report.parts]
                 upstream.prefixes.note_parts(parts)
 
+    def _note_sent(self, upstream: LiveUpstream, parts: Sequence[PromptPart]) -> None:
+        told = [(part.id, part.n_tokens) for part in parts]
+        self._link.note_sent(_work_report(upstream), told)
+
     def _on_silent(self, beacon: Beacon) -> None:
         """Forget the work of a peer, which ends with its connections."""
         for report in beacon.work:
@@ -350,3 +350,12 @@
             if upstream is not None:
                 upstream.work.note_peer(beacon.id, NO_WORK)
         self._shares.note_peer(beacon.id, {})
+
+
+def _work_report(upstream: LiveUpstream) -> WorkReport:
+    return WorkReport(
+        upstream.id,
+        round(upstream.backlog.own_total),
+        round(upstream.work.own.held_tokens),
+        upstream.work.own.n_requests,
+    )
--- a/src/chicorylead/gateway/directory.py
+++ b/src/chicorylead/gateway/directory.py
@@ -1,4 +1,8 @@
-"""Which routers callers are told to use."""
+"""Which routers callers are told to use.
+
+A fleet that is larger than one answer is told in parts. Each caller is always told the
+same part, so that it keeps its connections, and all routers get callers.
+"""
 
 from starlette.requests import Request
 from starlette.responses import Response
@@ -11,6 +15,7 @@
     READINESS_PATH,
     encode_addresses,
 )
+from chicorylead.vm.rendezvous import rank
 
 __all__ = ["Directory"]
 
@@ -38,6 +43,13 @@
             Route(READINESS_PATH, self._readiness),
         ]
 
+    def addresses_for(self, caller: str) -> list[str]:
+        """Return the addresses that a caller is told."""
+        addresses = self.ready_addresses()
+        if len(addresses) > MAX_ADDRESSES:
+            addresses = rank(caller, addresses)[:MAX_ADDRESSES]
+        return sorted(addresses)
+
     def ready_addresses(self) -> list[str]:
         """Return the addresses of all routers that take requests."""
         addresses = [
@@ -46,10 +58,11 @@
         if self.is_ready:
             host, port = self._cfg.callers
             addresses.append(f"{host}:{port}")
-        return sorted(addresses)[:MAX_ADDRESSES]
+        return addresses
 
     async def _addresses(self, req: Request) -> Response:
-        addresses = self.ready_addresses()
+        caller = req.client.host if req.client is not None else ""
+        addresses = self.addresses_for(caller)
         if not addresses:
             return Response(status_code=503)
         lifetime_s = LIFETIME_SHARE * self._cfg.bounds.address_lifetime_s
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -23,7 +23,7 @@
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
 
-__all__ = ["Forwarder"]
+__all__ = ["Accepted", "Forwarder"]
 
 MAX_SENDS = 4  # a request meets this many full or lost upstreams at most
 STALL_FACTOR = 3.0  # an upstream this much slower than expected is taken for stuck
@@ -45,6 +45,19 @@
     rejected: Rejected | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A request that is sent on.
+
+    Attributes:
+        placement: The first upstream that gets it.
+    """
+
+    req: ForwardRequest
+    placement: Placement
+    progress: _Progress
+
+
 class Forwarder:
     """Carry requests to upstreams.
 
@@ -77,21 +90,29 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
-    async def forward(self, req: ForwardRequest, reply: CallerReply) -> None:
-        """Answer a request.
+    def accept(self, req: ForwardRequest) -> Accepted:
+        """Decide at once whether a request is sent on, and where.
 
         Raises:
-            Refusal: There is no answer; nothing of one was sent.
-            Failure: The answer was begun and cannot be ended.
+            Refusal: It is not.
         """
-        progress = _Progress(
-            EventSplitter(req.head.last_event_id),
-            fingerprint_of(req.service, req.operation.name, req.body),
-        )
-        if self._poison.is_convicted(progress.fingerprint):
+        fingerprint = fingerprint_of(req.service, req.operation.name, req.body)
+        if self._poison.is_convicted(fingerprint):
             raise Refusal(ErrorKind.POISON, "upstreams crashed under this request")
         self._budget(req.service).note_request()
         placement = self._admission.admit(req)
+        events = EventSplitter(req.head.last_event_id)
+        return Accepted(req, placement, _Progress(events, fingerprint))
+
+    async def forward(self, accepted: Accepted, reply: CallerReply) -> None:
+        """Answer a request.
+
+        Raises:
+            Refusal: There is no answer; nothing of one was sent.
+            Failure: The answer was begun and cannot be ended.
+        """
+        req, placement = accepted.req, accepted.placement
+        progress = accepted.progress
         try:
             while not await self._send(req, placement, progress, reply):
                 placement = self._place_again(req, progress)
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -8,7 +8,7 @@
 from starlette.types import Receive, Scope, Send
 
 from chicorylead.errors import ErrorKind, Refusal
-from chicorylead.gateway.forward import Forwarder
+from chicorylead.gateway.forward import Accepted, Forwarder
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.ids import OrganisationId
 from chicorylead.logs import EventLog
@@ -76,7 +76,13 @@
                 scope["method"], scope["chicorylead.target"], scope["headers"]
             )
             req = await self._read(head, receive)
-            await self._forward_while_connected(req, reply, receive)
+            # A router behind its work reads requests whose callers have left; the
+            # end of their connections shows in the next round of the event loop.
+            await asyncio.sleep(0)
+            if scope["chicorylead.is_closing"]():
+                raise _CallerGone
+            accepted = self._forwarder.accept(req)
+            await self._forward_while_connected(accepted, reply, receive)
             self._metrics.count("requests.answered")
         except Refusal as exc:
             await self._refuse(exc, head, reply)
@@ -174,13 +180,13 @@
     # -- forwarding
 
     async def _forward_while_connected(
-        self, req: ForwardRequest, reply: CallerReply, receive: Receive
+        self, accepted: Accepted, reply: CallerReply, receive: Receive
     ) -> None:
         """Forward, and stop as soon as the caller has closed its connection."""
-        forward = asyncio.ensure_future(self._forwarder.forward(req, reply))
+        forward = asyncio.ensure_future(self._forwarder.forward(accepted, reply))
         gone = asyncio.ensure_future(receive())
         try:
-            async with asyncio.timeout_at(req.answer_by):
+            async with asyncio.timeout_at(accepted.req.answer_by):
                 await asyncio.wait((forward, gone), return_when=asyncio.FIRST_COMPLETED)
             if not forward.done():
                 raise _CallerGone
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -1,23 +1,23 @@
 """One send of a request to one upstream, and the accounts of its work."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from chicorylead.admission.placement import Placement
 from chicorylead.admission.speed import ServiceSpeed
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, SendOutcome, Served
 from chicorylead.gateway.reply import CallerReply
-from chicorylead.ids import UpstreamId
 from chicorylead.platform.upstream_wire import encode_request
-from chicorylead.traffic.request import ForwardRequest
+from chicorylead.traffic.request import ForwardRequest, PromptPart
 from chicorylead.upstream.answer import AnswerHead
 from chicorylead.upstream.backlog import Marker
 from chicorylead.upstream.connection import Connection, Failure, FailureKind
 from chicorylead.upstream.events import EventSplitter, StreamGap
+from chicorylead.upstream.live import LiveUpstream
 
 __all__ = ["OnSent", "Sender"]
 
-OnSent = Callable[[UpstreamId, float, list[tuple[str, int]]], None]
+OnSent = Callable[[LiveUpstream, Sequence[PromptPart]], None]
 
 # Beyond every pause that operators allow between events, and short of the two
 # seconds after which callers leave.
@@ -36,8 +36,7 @@
         reply: The caller's answer.
         first_timeout_s: Longest wait for the first part, seconds.
         event_timeout_s: Longest wait between parts, seconds.
-        on_sent: Called with an engine, the tokens ever sent to it, and the shared
-            parts of the prompt.
+        on_sent: Called with an engine and the shared parts of a prompt sent to it.
 
     Attributes:
         first_event_s: Time from the sending to the first event, seconds.
@@ -107,8 +106,7 @@
         )
         prompt = self._req.head.prompt
         upstream.prefixes.note_parts(prompt.parts)
-        shared = [(part.id, part.n_tokens) for part in prompt.parts[:-1]]
-        self._on_sent(upstream.id, upstream.backlog.own_total, shared)
+        self._on_sent(upstream, prompt.parts[:-1])
 
     def _give_work_back(self) -> None:
         upstream = self._upstream
--- a/src/chicorylead/http_server.py
+++ b/src/chicorylead/http_server.py
@@ -51,6 +51,7 @@
         self._end_head()
         # The server splits the target and loses an empty query.
         self.scope["chicorylead.target"] = self.url
+        self.scope["chicorylead.is_closing"] = self.transport.is_closing
         super().on_headers_complete()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/chicorylead/ids.py
+++ b/src/chicorylead/ids.py
@@ -8,6 +8,7 @@
     "IdempotencyKey",
     "Offset",
     "OrganisationId",
+    "PartId",
     "RequestId",
     "RouterId",
     "ServiceName",
@@ -20,6 +21,7 @@
 Incarnation = NewType("Incarnation", int)
 Offset = NewType("Offset", int)
 OrganisationId = NewType("OrganisationId", str)
+PartId = NewType("PartId", bytes)
 RequestId = NewType("RequestId", str)
 RouterId = NewType("RouterId", str)
 ServiceName = NewType("ServiceName", str)
--- a/src/chicorylead/peer/beacon.py
+++ b/src/chicorylead/peer/beacon.py
@@ -1,10 +1,10 @@
-"""Datagrams in which routers tell each other their state.
+"""Sends the own state to all peers in datagrams, and takes in theirs.
 
-A beacon holds the whole state of its sender, so that lost, repeated and late ones
-do no harm: the newest of a sender's incarnation holds. No connection can go silent
-unnoticed, and a router that is cut off or frozen is missed within a second. Between
-beacons, reports of what was sent to engines go out within milliseconds: routers that
-learn of each other's sends only with the next beacon all fill the same engine.
+No connection can go silent unnoticed, and a router that is cut off or frozen is missed
+within a second. Whole states are large and change slowly beside the backlogs of
+engines: they go out some times a second, signs of life more often, and what was sent
+to engines within milliseconds, as routers that learn late of each other's sends all
+fill the same engine.
 """
 
 import asyncio
@@ -13,103 +13,44 @@
 from random import Random
 
 import msgspec
-from msgspec import Struct
 
-from chicorylead.link.message import PoisonNotice
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-
-__all__ = [
-    "Beacon",
-    "BeaconLink",
-    "Peer",
-    "SendReport",
-    "Sends",
-    "UsageReport",
-    "WorkReport",
-]
-
-PERIOD_S = 0.1  # a quarter of the shortest usual objective
-PERIOD_PER_PEER_S = 0.0125  # keeps the messages a second bounded in larger fleets
+from chicorylead.peer.datagram import (
+    Beacon,
+    Pulse,
+    SendReport,
+    Sends,
+    WorkReport,
+)
+
+__all__ = ["BeaconLink", "Peer"]
+
+# Silence is noticed after some pulses: a caller that meets a dead address loses up to
+# a second.
+PULSE_S = 0.1
+PULSE_PER_PEER_S = 0.0125  # keeps the datagrams a second bounded in larger fleets
+PULSES_PER_BEACON = 5  # demand of organisations is counted over seconds
 JITTER = 0.2  # keeps routers that start together from sending together
-SILENCE_PERIODS = 6  # with 3 datagrams in 100 lost, a false alarm in 10^9
-SILENCE_MIN_S = 0.7  # a caller that meets a dead address loses up to a second
+SILENCE_PULSES = 6  # with 3 datagrams in 100 lost, a false alarm in 10^9
+SILENCE_MIN_S = 0.7  # shorter pauses of a process are usual
 PROBE_S = 1.0  # a router that returns is heard of within a second
 FORGET_S = 120.0  # of the order of the time for which a VM is replaced
 SENDS_DELAY_PER_PEER_S = 0.001  # joins the sends of some milliseconds
 MAX_DATAGRAM_BYTES = 60_000  # below the limit of UDP
 
 
-class WorkReport(Struct, frozen=True, array_like=True):
-    """Work that the sender has at one upstream.
-
-    Attributes:
-        sent_tokens: Prompt tokens that it ever sent there.
-    """
-
-    upstream: str
-    sent_tokens: float
-    held_tokens: float
-    n_requests: int
-
-
-class UsageReport(Struct, frozen=True, array_like=True):
-    """What one organisation asked for and got at the sender within the window."""
-
-    organisation: str
-    asked: float
-    admitted: float
-
-
-class SendReport(Struct, frozen=True, array_like=True):
-    """What the sender sent to one upstream.
-
-    Attributes:
-        sent_tokens: Prompt tokens that it ever sent there.
-        parts: Shared parts of the prompts since its last report, with their lengths.
-    """
-
-    upstream: str
-    sent_tokens: float
-    parts: list[tuple[str, int]]
-
-
-class Sends(Struct, frozen=True, array_like=True, tag="s"):
-    """What a router sent to some upstreams."""
-
-    id: str
-    incarnation: int
-    reports: list[SendReport]
-
-
-class Beacon(Struct, frozen=True, array_like=True, tag="b"):
-    """State of a router.
+class _Host:
+    """An IP number at which a router may answer.
 
     Attributes:
-        host: IP number at which datagrams reach the sender.
-        incarnation: Another number at each start of the sender.
-        sequence: Grows with each datagram.
-        callers: Address for callers.
-        control: Address at which peers ask for records.
-        is_ready: Whether callers may be sent to it.
-        ends: Offsets up to which it knows the streams, by name.
-        peers: IP numbers of routers that it knows.
-        suspects: Requests under which upstreams crashed.
+        named_at: Event-loop time at which it was heard or named last, seconds.
+        probed_at: Event-loop time at which it was tried last, seconds.
     """
 
-    id: str
-    host: str
-    incarnation: int
-    sequence: int
-    zone: str
-    callers: str
-    control: str
-    is_ready: bool
-    ends: dict[str, int]
-    work: list[WorkReport]
-    usage: list[UsageReport]
-    peers: list[str]
-    suspects: list[PoisonNotice] = []
+    def __init__(self, named_at: float) -> None:
+        self.named_at = named_at
+        self.probed_at = -PROBE_S
 
 
 class Peer:
@@ -117,12 +58,14 @@
 
     Attributes:
         beacon: Its newest datagram.
+        sequence: Number of its newest datagram of any kind.
         heard_at: Event-loop time of that datagram, seconds.
         is_live: Whether it was heard lately.
     """
 
     def __init__(self, beacon: Beacon, now: float) -> None:
         self.beacon = beacon
+        self.sequence = beacon.sequence
         self.heard_at = now
         self.is_live = True
         self._past: set[int] = set()
@@ -136,11 +79,21 @@
             return beacon.sequence > self.beacon.sequence
         return beacon.incarnation not in self._past
 
+    def note_pulse(self, pulse: Pulse, now: float) -> None:
+        """Take in a sign of life, unless it is older than what was heard."""
+        if pulse.incarnation != self.beacon.incarnation:
+            return
+        if pulse.sequence > self.sequence:
+            self.sequence = pulse.sequence
+            self.heard_at = now
+
     def take(self, beacon: Beacon, now: float) -> None:
         """Take over a newer datagram."""
         if beacon.incarnation != self.beacon.incarnation:
             self._past.add(self.beacon.incarnation)
+            self.sequence = 0
         self.beacon = beacon
+        self.sequence = max(self.sequence, beacon.sequence)
         self.heard_at = now
         self.is_live = True
 
@@ -155,7 +108,7 @@
         seeds: IP numbers of some routers.
         make: Makes the own state from a sequence number and the known peers.
         on_beacon: Called with each newer state of a peer.
-        on_sends: Called with what a live peer sent to upstreams.
+        on_sends: Called with the id of a live peer and what it sent to upstreams.
         on_silent: Called with a peer that is no longer heard.
     """
 
@@ -167,7 +120,7 @@
         seeds: tuple[str, ...],
         make: Callable[[int, list[str]], Beacon],
         on_beacon: Callable[[Beacon], None],
-        on_sends: Callable[[Sends], None],
+        on_sends: Callable[[str, Sends], None],
         on_silent: Callable[[Beacon], None],
         log: EventLog,
         metrics: Metrics,
@@ -185,21 +138,28 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
-        self._hosts: dict[str, float] = dict.fromkeys(seeds, 0.0)
+        now = self._loop.time()
+        self._seeds = frozenset(seeds)
+        self._hosts = {host: _Host(now) for host in seeds}
         self._peers: dict[str, Peer] = {}
+        self._by_host: dict[str, Peer] = {}
         self._sequence = 0
         self._new_sends: dict[str, SendReport] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Beacon | Sends)
+        self._decoder = msgspec.msgpack.Decoder(Beacon | Pulse | Sends)
 
     def live(self) -> list[Peer]:
         """Return the peers that were heard lately."""
         return [peer for peer in self._peers.values() if peer.is_live]
 
+    def known_hosts(self) -> list[str]:
+        """Return the IP numbers at which routers may answer."""
+        return sorted(self._hosts)
+
     @property
-    def period_s(self) -> float:
+    def pulse_s(self) -> float:
         """Return the time between two datagrams to a peer, seconds."""
-        return max(PERIOD_S, PERIOD_PER_PEER_S * len(self._peers))
+        return max(PULSE_S, PULSE_PER_PEER_S * len(self._peers))
 
     async def start(self) -> None:
         """Open the socket."""
@@ -215,16 +175,21 @@
 
     async def run(self) -> None:
         """Send until cancelled."""
+        n_pulses = 0
         while True:
-            self._note_silence()
-            self.send()
+            self.note_silence()
+            if n_pulses % PULSES_PER_BEACON == 0:
+                self.send()
+            else:
+                self._send_pulse()
+            n_pulses += 1
             jitter = self._rng.uniform(1 - JITTER, 1 + JITTER)
-            await asyncio.sleep(self.period_s * jitter)
+            await asyncio.sleep(self.pulse_s * jitter)
 
     def send(self) -> None:
         """Send the own state to all peers that are live or may be back."""
         now = self._loop.time()
-        live_hosts = {peer.beacon.host for peer in self.live()}
+        live_hosts = self._live_hosts()
         self._sequence += 1
         beacon = self._make(self._sequence, sorted(live_hosts))
         data = self._encoder.encode(beacon)
@@ -232,43 +197,50 @@
             self._metrics.count("beacon.too_large")
             self._log.error("beacon_too_large", n_bytes=len(data))
             return
-        for host, probed_at in list(self._hosts.items()):
-            if host == self._address[0]:
+        for address, host in list(self._hosts.items()):
+            if address == self._address[0]:
                 continue
-            if host not in live_hosts:
-                if now - probed_at < PROBE_S:
+            if address not in live_hosts:
+                if now - host.probed_at < PROBE_S:
                     continue
-                self._hosts[host] = now
+                host.probed_at = now
+            self._send_to(address, data)
+
+    def _send_pulse(self) -> None:
+        self._sequence += 1
+        data = self._encoder.encode(Pulse(self._incarnation, self._sequence))
+        for host in self._live_hosts():
             self._send_to(host, data)
 
-    def note_sent(
-        self, upstream: str, total: float, parts: list[tuple[str, int]]
-    ) -> None:
+    def _live_hosts(self) -> set[str]:
+        return {peer.beacon.host for peer in self.live()}
+
+    def note_sent(self, work: WorkReport, parts: list[tuple[bytes, int]]) -> None:
         """Tell live peers soon of a prompt that was sent to an upstream.
 
         Args:
-            upstream: The upstream.
-            total: Prompt tokens that were ever sent to it.
+            work: The own work there now.
             parts: Shared parts of the prompt, with their lengths.
         """
         if not self._new_sends:
             delay_s = SENDS_DELAY_PER_PEER_S * len(self._peers)
             self._loop.call_later(delay_s, self._send_reports)
-        known = self._new_sends.get(upstream)
+        known = self._new_sends.get(work.upstream)
         if known is not None:
             parts = [*known.parts, *parts]
-        self._new_sends[upstream] = SendReport(upstream, total, parts)
+        self._new_sends[work.upstream] = SendReport(work, parts)
 
     def _send_reports(self) -> None:
         reports = list(self._new_sends.values())
         self._new_sends.clear()
-        data = self._encoder.encode(Sends(self._id, self._incarnation, reports))
-        for peer in self.live():
-            self._send_to(peer.beacon.host, data)
+        data = self._encoder.encode(Sends(self._incarnation, reports))
+        for host in self._live_hosts():
+            self._send_to(host, data)
 
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
+        # A link that fails is noticed by the peer's silence.
         with contextlib.suppress(OSError):
             self._transport.sendto(data, (host, self._address[1]))
 
@@ -289,15 +261,18 @@
         match message:
             case Beacon():
                 self._take_beacon(message, addr[0])
+            case Pulse():
+                if (peer := self._by_host.get(addr[0])) is not None:
+                    peer.note_pulse(message, self._loop.time())
             case Sends():
-                self._take_sends(message)
+                self._take_sends(message, addr[0])
 
-    def _take_sends(self, sends: Sends) -> None:
-        peer = self._peers.get(sends.id)
+    def _take_sends(self, sends: Sends, sender: str) -> None:
+        peer = self._by_host.get(sender)
         if peer is None or not peer.is_live:
             return
         if peer.beacon.incarnation == sends.incarnation:
-            self._on_sends(sends)
+            self._on_sends(peer.beacon.id, sends)
 
     def _take_beacon(self, beacon: Beacon, sender: str) -> None:
         if beacon.host != sender or beacon.host == self._address[0]:
@@ -316,17 +291,20 @@
         if known is None or not known.is_live:
             self._log.info("peer_heard", peer=beacon.id, host=beacon.host)
         if known is None:
-            self._peers[beacon.id] = Peer(beacon, now)
+            known = self._peers[beacon.id] = Peer(beacon, now)
         else:
+            if beacon.host != known.beacon.host:
+                self._by_host.pop(known.beacon.host, None)
             known.take(beacon, now)
-        self._hosts.setdefault(beacon.host, 0.0)
-        for host in beacon.peers:
-            self._hosts.setdefault(host, 0.0)
+        self._by_host[beacon.host] = known
+        for host in (beacon.host, *beacon.peers):
+            self._hosts.setdefault(host, _Host(now)).named_at = now
         self._on_beacon(beacon)
 
-    def _note_silence(self) -> None:
+    def note_silence(self) -> None:
+        """Take peers that are no longer heard for lost, and forget them in time."""
         now = self._loop.time()
-        silence_s = max(SILENCE_MIN_S, SILENCE_PERIODS * self.period_s)
+        silence_s = max(SILENCE_MIN_S, SILENCE_PULSES * self.pulse_s)
         for peer_id, peer in list(self._peers.items()):
             if peer.is_live and now - peer.heard_at > silence_s:
                 peer.is_live = False
@@ -336,4 +314,7 @@
                 self._on_silent(peer.beacon)
             elif not peer.is_live and now - peer.heard_at > FORGET_S:
                 del self._peers[peer_id]
-                self._hosts.pop(peer.beacon.host, None)
+                self._by_host.pop(peer.beacon.host, None)
+        for address, host in list(self._hosts.items()):
+            if now - host.named_at > FORGET_S and address not in self._seeds:
+                del self._hosts[address]
--- /dev/null
+++ b/src/chicorylead/peer/datagram.py
@@ -0,0 +1,91 @@
+"""What routers tell each other in datagrams.
+
+A beacon holds the whole state of its sender, so that lost, repeated and late ones do
+no harm: the newest of a sender's incarnation holds. Pulses between beacons say only
+that the sender is there, and reports of sends tell at once what changes quickly.
+"""
+
+from msgspec import Struct
+
+from chicorylead.link.message import PoisonNotice
+
+__all__ = ["Beacon", "Pulse", "SendReport", "Sends", "UsageReport", "WorkReport"]
+
+
+class WorkReport(Struct, frozen=True, array_like=True):
+    """Work that the sender has at one upstream.
+
+    Attributes:
+        sent_tokens: Prompt tokens that it ever sent there.
+        held_tokens: Tokens that its requests hold in memory there.
+        n_requests: Its requests in flight there.
+    """
+
+    upstream: str
+    sent_tokens: int
+    held_tokens: int
+    n_requests: int
+
+
+class UsageReport(Struct, frozen=True, array_like=True):
+    """Tokens that an organisation asked for and got at the sender in the window."""
+
+    organisation: str
+    asked: int
+    admitted: int
+
+
+class SendReport(Struct, frozen=True, array_like=True):
+    """What the sender sent to one upstream.
+
+    Attributes:
+        work: Its work there now.
+        parts: Shared parts of the prompts since its last report, with their lengths.
+    """
+
+    work: WorkReport
+    parts: list[tuple[bytes, int]]
+
+
+class Sends(Struct, frozen=True, array_like=True, tag="s"):
+    """What a router sent to some upstreams."""
+
+    incarnation: int
+    reports: list[SendReport]
+
+
+class Pulse(Struct, frozen=True, array_like=True, tag="p"):
+    """A sign of life."""
+
+    incarnation: int
+    sequence: int
+
+
+class Beacon(Struct, frozen=True, array_like=True, tag="b"):
+    """State of a router.
+
+    Attributes:
+        host: IP number at which datagrams reach the sender.
+        incarnation: Another number at each start of the sender.
+        sequence: Grows with each datagram.
+        callers: Address for callers.
+        control: Address at which peers ask for records.
+        is_ready: Whether callers may be sent to it.
+        ends: Offsets up to which it knows the streams, by name.
+        peers: IP numbers of routers that it hears.
+        suspects: Requests under which upstreams crashed.
+    """
+
+    id: str
+    host: str
+    incarnation: int
+    sequence: int
+    zone: str
+    callers: str
+    control: str
+    is_ready: bool
+    ends: dict[str, int]
+    work: list[WorkReport]
+    usage: list[UsageReport]
+    peers: list[str]
+    suspects: list[PoisonNotice] = []
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from chicorylead.errors import ErrorKind, Refusal
-from chicorylead.ids import RequestId
+from chicorylead.ids import PartId, RequestId
 from chicorylead.traffic.request import CallerHead, Prompt, PromptPart
 
 __all__ = [
@@ -170,11 +170,15 @@
 def _parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in filter(None, (part.strip() for part in value.split(b","))):
-        part_id, _, n_tokens = item.rpartition(b":")
-        parts.append(PromptPart(part_id.decode("latin-1"), int(n_tokens)))
+        digits, _, n_tokens = item.rpartition(b":")
+        parts.append(PromptPart(_part_id(digits.decode("ascii")), int(n_tokens)))
     return tuple(parts)
 
 
+def _part_id(digits: str) -> PartId:
+    return PartId(bytes.fromhex(digits.zfill(len(digits) + len(digits) % 2)))
+
+
 def encode_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
     """Return status, headers and body of a refusal."""
     # Only kinds that are listed may promise that the request has not run.
--- a/src/chicorylead/upstream/backlog.py
+++ b/src/chicorylead/upstream/backlog.py
@@ -24,23 +24,24 @@
 
 
 class _ReadingRate:
-    """Rate at which one engine reads, over the last seconds in which it was busy."""
+    """Rate at which one engine reads, over the last seconds in which it was busy.
+
+    Attributes:
+        tokens_per_s: The rate, tokens/s.
+    """
 
     def __init__(self) -> None:
         self._tokens = TOKENS_PER_S * PRIOR_S
         self._seconds = PRIOR_S
-
-    @property
-    def tokens_per_s(self) -> float:
-        """Return the rate, tokens/s."""
-        rate = self._tokens / self._seconds
-        return min(max(rate, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
+        self.tokens_per_s = TOKENS_PER_S
 
     def note(self, tokens: float, seconds: float) -> None:
         """Take in tokens that were read within a time."""
         kept = math.exp(-seconds / MEMORY_S)
         self._tokens = kept * self._tokens + tokens
         self._seconds = kept * self._seconds + seconds
+        rate = self._tokens / self._seconds
+        self.tokens_per_s = min(max(rate, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
 
 
 class ReadingBacklog:
@@ -114,15 +115,20 @@
 
     def wait_s(self, now: float) -> float:
         """Return the time until the engine has read its backlog, seconds."""
-        return self.tokens(now) / self.tokens_per_s
+        return self.tokens(now) / self._rate.tokens_per_s
 
     def _add(self, tokens: float) -> None:
         self._added += tokens
         self._backlog += tokens
 
     def _drain(self, now: float) -> None:
-        self._backlog -= (now - self._at) * self.tokens_per_s
+        if now == self._at:
+            return
+        backlog = self._backlog - (now - self._at) * self._rate.tokens_per_s
         self._at = now
-        # What was sent after a prompt without its first event is not read yet.
-        oldest = next(iter(self._pending.values()), (self._added, now))
-        self._backlog = max(self._backlog, self._added - oldest[0], 0.0)
+        unread = 0.0
+        for read, _ in self._pending.values():
+            # What was sent after a prompt without its first event is not read yet.
+            unread = self._added - read
+            break
+        self._backlog = max(backlog, unread, 0.0)
--- a/src/chicorylead/upstream/live.py
+++ b/src/chicorylead/upstream/live.py
@@ -10,6 +10,7 @@
 from chicorylead.upstream.prefix_memory import PrefixMemory
 from chicorylead.upstream.registered import RegisteredUpstream
 from chicorylead.upstream.work import WorkLedger
+from chicorylead.vm.rendezvous import hash64
 
 __all__ = ["LiveUpstream"]
 
@@ -31,6 +32,8 @@
         decode: Decodes the heads of its answers.
 
     Attributes:
+        key: A number alike for this upstream in every router.
+        memory_tokens: Memory of an engine, tokens.
         work: Work in flight there.
         backlog: Prompt tokens that it has still to read.
         prefixes: What it probably keeps of prompts; None for a plain service.
@@ -46,6 +49,8 @@
         self.work = WorkLedger()
         self.backlog = ReadingBacklog()
         self.prefixes = PrefixMemory(memory_tokens) if memory_tokens else None
+        self.memory_tokens = memory_tokens
+        self.key = hash64(entry.id)
         self.failure_rate = 0.0
         self.slowness = 1.0
         self.ejected_until = 0.0
--- a/src/chicorylead/upstream/prefix_memory.py
+++ b/src/chicorylead/upstream/prefix_memory.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
+from chicorylead.ids import PartId
 from chicorylead.traffic.request import Prompt, PromptPart
 
 __all__ = ["PrefixMemory"]
@@ -18,16 +19,12 @@
     and with gaps; what was sent to it is known at once.
 
     Args:
-        capacity_tokens: Memory of the engine, tokens.
-
-    Attributes:
         memory_tokens: Memory of the engine, tokens.
     """
 
-    def __init__(self, capacity_tokens: float) -> None:
-        self.memory_tokens = capacity_tokens
-        self._capacity = KEPT_SHARE * capacity_tokens
-        self._parts: OrderedDict[str, int] = OrderedDict()
+    def __init__(self, memory_tokens: float) -> None:
+        self._capacity = KEPT_SHARE * memory_tokens
+        self._parts: OrderedDict[PartId, int] = OrderedDict()
         self._n_tokens = 0
 
     def missing_tokens(self, prompt: Prompt) -> int:
--- a/src/chicorylead/upstream/work.py
+++ b/src/chicorylead/upstream/work.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """Work of some requests at one upstream.
+    """Work of some requests at one upstream; none is held without a request.
 
     Attributes:
         held_tokens: Tokens that running requests will hold in memory.
@@ -47,13 +47,22 @@
 
     def note_peer(self, peer: str, work: Work) -> None:
         """Replace what a peer has there."""
+        known = self._peers.get(peer, NO_WORK)
+        if work == known:
+            return
         if work.n_requests == 0:
-            if self._peers.pop(peer, None) is None:
-                return
+            work = NO_WORK
+            self._peers.pop(peer, None)
         else:
             self._peers[peer] = work
-        self._peers_total = sum(self._peers.values(), NO_WORK)
+        self._peers_total = self._peers_total + work - known
 
-    def total(self) -> Work:
-        """Return the work of all routers."""
-        return self.own + self._peers_total
+    @property
+    def n_requests(self) -> int:
+        """Return the requests of all routers in flight."""
+        return self.own.n_requests + self._peers_total.n_requests
+
+    @property
+    def held_tokens(self) -> float:
+        """Return the tokens that the requests of all routers hold in memory."""
+        return self.own.held_tokens + self._peers_total.held_tokens
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -24,6 +24,7 @@
     "configuration",
     "entry",
     "gateway_on",
+    "request",
     "sealed",
 ]
 
@@ -234,6 +235,16 @@
     **headers: str,
 ) -> tuple[int, dict[str, str], bytes, bool]:
     """Send one request; return status, headers, body and whether it came whole."""
+    reader, writer = await asyncio.open_connection(host_ip, port)
+    writer.write(request(path, method, body, **headers))
+    try:
+        return await _answer(reader)
+    finally:
+        writer.close()
+
+
+def request(path: str, method: str = "GET", body: bytes = b"", **headers: str) -> bytes:
+    """Return the bytes of a caller's request."""
     lines = {
         "host": HOST,
         "chicorylead-attempt-id": "req-1",
@@ -244,12 +255,7 @@
     if body:
         lines["content-length"] = str(len(body))
     head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
-    reader, writer = await asyncio.open_connection(host_ip, port)
-    writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
-    try:
-        return await _answer(reader)
-    finally:
-        writer.close()
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body
 
 
 async def _answer(
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -13,7 +13,7 @@
 from chicorylead.admission.gate import Admit, Demand, decide
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.speed import ServiceSpeed
-from chicorylead.ids import OrganisationId, ServiceName, UpstreamId, ZoneName
+from chicorylead.ids import OrganisationId, PartId, ServiceName, UpstreamId, ZoneName
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.request import Prompt, PromptPart
 from chicorylead.upstream.live import LiveUpstream
@@ -58,8 +58,9 @@
 
 def prompt_of(name: str, n_tokens: int, shared: str = "", n_shared: int = 0) -> Prompt:
     """Return a prompt with one shared part and one of its own."""
-    own = PromptPart(name, n_tokens - n_shared)
-    parts = (PromptPart(shared, n_shared), own) if shared else (own,)
+    own = PromptPart(PartId(name.encode()), n_tokens - n_shared)
+    part = PromptPart(PartId(shared.encode()), n_shared)
+    parts = (part, own) if shared else (own,)
     return Prompt(n_tokens, 10, 10, parts)
 
 
--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -100,7 +100,8 @@
             chicorylead_length_hint=b"31",
         ),
     )
-    assert [(p.id, p.n_tokens) for p in head.prompt.parts] == [("5c", 800), ("91", 660)]
+    parts = [(part.id, part.n_tokens) for part in head.prompt.parts]
+    assert parts == [(b"\x5c", 800), (b"\x91", 660)]
     assert (head.prompt.n_tokens, head.prompt.expected_output_tokens) == (1460, 31)
 
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+import uvloop
 
 from tests.gateway.fakes import (
     FakeStore,
@@ -16,6 +17,7 @@
     configuration,
     entry,
     gateway_on,
+    request,
     sealed,
 )
 
@@ -385,3 +387,25 @@
         assert b"chicorylead_request_seconds_bucket" in page
 
     _run([_serve], check)
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_what_callers_sent_before_they_left_a_busy_router_is_not_sent_on(run):
+    """The sends and the closes all arrive before the event loop turns again."""
+
+    async def serve_late(got: Received, writer: Writer) -> None:
+        await asyncio.sleep(0.1)
+        await _serve(got, writer)
+
+    async def main() -> int:
+        async with Fleet([serve_late]) as fleet:
+            # Sends on connections that are open already leave at once.
+            await asyncio.gather(*(fleet.call("/look/a") for _ in range(20)))
+            n_before = fleet.n_received
+            for _ in range(20):
+                with socket.create_connection(("127.0.0.1", fleet.ports[0])) as sock:
+                    sock.sendall(request("/look/a"))
+            await asyncio.sleep(0.3)
+            return fleet.n_received - n_before
+
+    assert run(main()) == 0
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -13,7 +13,8 @@
 from chicorylead.ids import OrganisationId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.peer.beacon import Beacon, BeaconLink
+from chicorylead.peer.beacon import FORGET_S, BeaconLink
+from chicorylead.peer.datagram import Beacon, Pulse
 from chicorylead.upstream.backlog import TOKENS_PER_S, ReadingBacklog
 from chicorylead.upstream.events import EventSplitter, StreamGap
 from chicorylead.upstream.prefix_memory import PrefixMemory
@@ -167,35 +168,72 @@
     )
 
 
+def _link(on_beacon, on_silent=lambda beacon: None) -> BeaconLink:
+    return BeaconLink(
+        "r1",
+        1,
+        ("127.0.0.1", 1),
+        (),
+        lambda sequence, peers: _beacon(sequence),
+        on_beacon,
+        lambda peer, sends: None,
+        on_silent,
+        EventLog(),
+        Metrics(),
+        Random(1),
+    )
+
+
+def _receive(link: BeaconLink, message, host: str = "127.0.0.2") -> None:
+    link.datagram_received(msgspec.msgpack.encode(message), (host, 1))
+
+
 def test_beacons_are_taken_once_whatever_their_order_and_across_restarts():
     async def main() -> None:
         seen: list[Beacon] = []
-        link = BeaconLink(
-            "r1",
-            1,
-            ("127.0.0.1", 1),
-            (),
-            lambda sequence, peers: _beacon(sequence),
-            seen.append,
-            lambda sends: None,
-            lambda beacon: None,
-            EventLog(),
-            Metrics(),
-            Random(1),
-        )
-
-        def receive(beacon: Beacon, host: str = "127.0.0.2") -> None:
-            link.datagram_received(msgspec.msgpack.encode(beacon), (host, 1))
-
-        receive(_beacon(1))
-        receive(_beacon(3))
-        receive(_beacon(2))
-        receive(_beacon(3))
-        receive(_beacon(1, incarnation=9))
-        receive(_beacon(4))
-        receive(_beacon(9), host="127.0.0.9")
+        link = _link(seen.append)
+        _receive(link, _beacon(1))
+        _receive(link, _beacon(3))
+        _receive(link, _beacon(2))
+        _receive(link, _beacon(3))
+        _receive(link, _beacon(1, incarnation=9))
+        _receive(link, _beacon(4))
+        _receive(link, _beacon(9), host="127.0.0.9")
         link.datagram_received(b"\xff\x00", ("127.0.0.2", 1))
         order = [(b.incarnation, b.sequence) for b in seen]
         assert order == [(1, 1), (1, 3), (9, 1)]
 
     asyncio.run(main())
+
+
+def test_signs_of_life_keep_a_peer_and_those_of_its_past_do_not():
+    async def main(incarnation: int) -> int:
+        silent: list[Beacon] = []
+        link = _link(lambda beacon: None, silent.append)
+        _receive(link, _beacon(1))
+        task = asyncio.create_task(link.run())
+        for sequence in range(2, 14):
+            await asyncio.sleep(0.1)
+            _receive(link, Pulse(incarnation, sequence))
+        task.cancel()
+        return len(silent)
+
+    assert asyncio.run(main(incarnation=1)) == 0
+    assert asyncio.run(main(incarnation=7)) == 1
+
+
+def test_a_peer_that_was_named_and_never_answers_is_forgotten():
+    async def main() -> None:
+        link = _link(lambda beacon: None)
+        named = msgspec.structs.replace(_beacon(1), peers=["127.0.0.77"])
+        _receive(link, named)
+        assert "127.0.0.77" in link.known_hosts()
+        loop = asyncio.get_running_loop()
+        real, start = loop.time, loop.time()
+        loop.time = lambda: real() + FORGET_S + 1.0
+        assert loop.time() > start + FORGET_S
+        link.note_silence()
+        loop.time = real
+        assert link.known_hosts() == []
+
+    asyncio.run(main())
