Engines run little of what organisations ask for beyond their shares

Change: the level of shares comes from the stated throughput, and an organisation's standing from what it got relative to that level. From 0.6 of it on, its queue limit and the number of requests that an engine may run beside it fall, to an idle queue and a fifth of the places at its whole share. Within a share the queue limit is 0.4 of the shortest objective. One lost answer no longer moves shared parts elsewhere. Engines slowed down by neighbours get fewer long prompts.

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -55,18 +55,22 @@
     Attributes:
         totals: Usage of each one at all routers.
         overload: What all asked for, relative to what was admitted.
-        is_all_served: Whether nearly all was admitted.
         level: Amount to which demands can be met.
     """
 
-    def __init__(self, totals: dict[OrganisationId, Usage]) -> None:
+    def __init__(
+        self, totals: dict[OrganisationId, Usage], capacity: float | None
+    ) -> None:
         self.totals = totals
         asked = sum(usage.asked for usage in totals.values())
         admitted = sum(usage.admitted for usage in totals.values())
         self.overload = asked / max(admitted, 1.0)
-        self.is_all_served = admitted > ALL_SERVED * asked
         demands = {name: usage.asked for name, usage in totals.items()}
-        self.level = max_min_level(demands, admitted)
+        if capacity is None:
+            # What is admitted is what the upstreams can do, unless it is nearly all.
+            is_enough = admitted > ALL_SERVED * asked
+            capacity = float("inf") if is_enough else admitted
+        self.level = max_min_level(demands, capacity)
 
 
 class FairShare:
@@ -75,15 +79,23 @@
     Args:
         window_s: Length of the window, seconds.
         clock: Event-loop time, seconds.
+        tokens_per_s: Returns the throughput that organisations share, tokens/s; None
+            where it is not known.
     """
 
-    def __init__(self, window_s: float, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        window_s: float,
+        clock: Callable[[], float],
+        tokens_per_s: Callable[[], float | None] = lambda: None,
+    ) -> None:
         self._window_s = window_s
         self._clock = clock
+        self._tokens_per_s = tokens_per_s
         self._events: deque[tuple[float, OrganisationId, float, float]] = deque()
         self._own: dict[OrganisationId, Usage] = {}
         self._peers: dict[str, dict[OrganisationId, Usage]] = {}
-        self._summary = _Summary({})
+        self._summary = _Summary({}, None)
         self._summed_at = -SUMMARY_AGE_S
 
     def note(self, organisation: OrganisationId, asked: float, admitted: float) -> None:
@@ -109,16 +121,15 @@
         return self._own
 
     def standing(self, organisation: OrganisationId) -> float:
-        """Return what an organisation got, relative to its max-min share.
+        """Return what an organisation got, relative to the level of max-min shares.
 
-        It is 0 while nearly all that is asked for is admitted. Otherwise what is
-        admitted is what the fleet can do.
+        It is 0 while all that is asked for can be met.
         """
         summary = self._summarise()
         mine = summary.totals.get(organisation)
-        if mine is None or mine.asked <= 0.0 or summary.is_all_served:
+        if mine is None:
             return 0.0
-        return mine.admitted / max(min(mine.asked, summary.level), 1.0)
+        return mine.admitted / max(summary.level, 1.0)
 
     def overload(self) -> float:
         """Return what all ask for, relative to what is admitted."""
@@ -127,7 +138,9 @@
     def _summarise(self) -> _Summary:
         now = self._clock()
         if now - self._summed_at >= SUMMARY_AGE_S:
-            self._summary = _Summary(self._totals())
+            rate = self._tokens_per_s()
+            capacity = None if rate is None else rate * self._window_s
+            self._summary = _Summary(self._totals(), capacity)
             self._summed_at = now
         return self._summary
 
--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -1,9 +1,12 @@
 """Whether a request is sent on now or refused with a time to come back.
 
-Load pattern: the crest of a demand wave above capacity. Engines admit in order of
-arrival, so that one request too many makes all behind it late. A request is sent
-only while its first event is expected within its objective; what cannot be in
-time is refused at once, while its caller can still be served later.
+Load patterns: the crest of a demand wave above capacity, and one organisation that
+sends many times its usual amount. Engines admit in order of arrival, so that one
+request too many makes all behind it late, and the more an engine runs, the later each
+token of all its streams. A request is sent only while its first event is expected
+within its objective. An organisation that has had its share gets only engines that
+wait for nothing and run little. What cannot be in time is refused at once, while its
+caller can still be served later.
 """
 
 from dataclasses import dataclass
@@ -15,11 +18,12 @@
 
 # Part of the shortest objective that a request may wait before it is read. Engines are
 # busy while anything waits; a longer queue only makes answers late.
-QUEUE_SHARE = 0.2
-# An organisation that has had its share leaves the rest of the queue to others.
-QUEUE_BEYOND_SHARE = 0.05
-STANDING_MET = 0.8  # from here to beyond its share an organisation is slowed down
-STANDING_BEYOND = 1.2
+QUEUE_SHARE = 0.4
+STANDING_MET = 0.6  # from here to its whole share an organisation is slowed down
+STANDING_BEYOND = 1.0
+# Part of an engine's places up to which it takes requests beyond a share: it then
+# reads a long prompt without making the streams beside it pause for long.
+BEYOND_CROWD = 0.2
 RETURN_MIN_S = 0.1  # several round trips, so that something has changed by then
 RETURN_MAX_S = 4.0  # callers honour a third of the time that they have left
 RETURN_SPREAD = 0.5  # callers refused together come back spread over this part
@@ -61,18 +65,25 @@
 
 def decide(placement: Placement, demand: Demand, rng: Random) -> Admit | Refuse:
     """Return whether a request is sent to the upstream that was picked for it."""
-    limit_s = _limit_s(demand)
+    beyond = _beyond_share(demand)
+    limit_s = QUEUE_SHARE * demand.shortest_objective_s * (1.0 - beyond)
     is_idle = placement.upstream.work.n_requests == 0
-    if is_idle or (placement.queue_s <= limit_s and placement.has_room):
+    has_room = placement.has_room and not _is_crowded(placement, beyond)
+    if is_idle or (placement.queue_s <= limit_s and has_room):
         return Admit(placement)
     return Refuse(_back_s(placement.queue_s - limit_s, rng), limit_s)
 
 
-def _limit_s(demand: Demand) -> float:
+def _beyond_share(demand: Demand) -> float:
+    """Return 0 for an organisation within its share, up to 1 for one beyond it."""
     beyond = (demand.standing - STANDING_MET) / (STANDING_BEYOND - STANDING_MET)
-    beyond = min(max(beyond, 0.0), 1.0)
-    share = QUEUE_SHARE * (1.0 - beyond * (1.0 - QUEUE_BEYOND_SHARE))
-    return share * demand.shortest_objective_s
+    return min(max(beyond, 0.0), 1.0)
+
+
+def _is_crowded(placement: Placement, beyond: float) -> bool:
+    upstream = placement.upstream
+    crowd = upstream.work.n_requests / upstream.entry.n_slots
+    return crowd > 1.0 - beyond * (1.0 - BEYOND_CROWD)
 
 
 def _back_s(excess_s: float, rng: Random) -> float:
--- a/src/chicorylead/admission/placement.py
+++ b/src/chicorylead/admission/placement.py
@@ -19,6 +19,8 @@
 
 # Reading delays every request behind it as well, so it weighs more than waiting.
 READING_WEIGHT = 2.0
+# The steps of an engine that neighbours slow down add up to pauses in its streams.
+SLOWNESS_WEIGHT = 1.0
 FAILURE_WEIGHT_S = 1.0  # what a failure costs a caller: about an objective
 HOME_BIAS_S = 0.03  # less than reading a shared part of typical length again
 FULL_WEIGHT_S = 5.0  # a full engine answers after requests that run for seconds
@@ -124,10 +126,12 @@
 ) -> float:
     backlog = upstream.backlog
     unread = upstream.prefixes.missing_tokens(prompt) if prompt else 0
+    reading_s = unread / backlog.tokens_per_s
     price = (
         backlog.wait_s(now)
-        + READING_WEIGHT * unread / backlog.tokens_per_s
-        + FAILURE_WEIGHT_S * upstream.failure_rate
+        + reading_s * (READING_WEIGHT + SLOWNESS_WEIGHT * (upstream.slowness - 1.0))
+        # One lost answer is no reason to read shared parts elsewhere; a series is.
+        + FAILURE_WEIGHT_S * upstream.failure_rate**2
         # All routers prefer the same engine for a part that none has sent yet.
         + HOME_BIAS_S * _distance(home, upstream.key)
         + CROWDING_S * upstream.work.n_requests
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -88,6 +88,7 @@
         n_engines: Engines.
         tell_s: Time until peers know of a send, seconds.
         decide_on: The admission decision.
+        tokens_per_s: Throughput that organisations share; None if nobody states it.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         n_engines: int = 4,
         tell_s: float = 0.004,
         decide_on: Decide = decide,
+        tokens_per_s: float | None = None,
     ) -> None:
         self._rng = Random(7)
         self._decide = decide_on
@@ -109,7 +111,7 @@
         self._routers = [
             _Router(
                 [upstream(f"u{i}") for i in range(n_engines)],
-                FairShare(SHARE_WINDOW_S, lambda: self.now),
+                FairShare(SHARE_WINDOW_S, lambda: self.now, lambda: tokens_per_s),
             )
             for _ in range(n_routers)
         ]
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -4,8 +4,12 @@
 from collections.abc import Iterator
 from random import Random
 
-from chicorylead.admission.gate import Admit, Refuse
-from tests.gateway.replay import Arrival, Replay, prompt_of
+from chicorylead.admission.gate import Admit, Demand, Refuse, decide
+from chicorylead.admission.placement import Placement, place
+from chicorylead.admission.speed import ServiceSpeed
+from chicorylead.upstream.answer import UpstreamLoad
+from chicorylead.upstream.work import Work
+from tests.gateway.replay import Arrival, Replay, prompt_of, upstream
 
 ENGINES_TOKENS_PER_S = 4 * 40_000.0
 
@@ -96,6 +100,69 @@
         assert tally.in_time >= 0.5 * tally.asked
 
 
+def test_organisations_within_their_shares_get_them_in_a_flood():
+    """The part of a share that the product promises at any load is 0.8."""
+
+    async def play():
+        return Replay(tokens_per_s=ENGINES_TOKENS_PER_S).play(_flood())
+
+    tallies = asyncio.run(play())
+    tallies.pop("o0")
+    asked = sum(tally.asked for tally in tallies.values())
+    assert sum(tally.in_time for tally in tallies.values()) >= 0.8 * asked
+
+
+def _placed(n_requests: int, queue_s: float = 0.0) -> Placement:
+    there = upstream("u")
+    there.work.own = Work(0.0, n_requests)
+    return Placement(there, Work(0.0, 1), 2000.0, queue_s, queue_s + 0.1, True)
+
+
+def test_beyond_its_share_an_organisation_gets_only_engines_that_run_little():
+    async def main() -> None:
+        within, beyond = Demand(0.4, 0.3), Demand(0.4, 1.3)
+        for n_requests, is_admitted in ((8, True), (30, False)):
+            placement = _placed(n_requests)
+            verdict = decide(placement, beyond, Random(1))
+            assert isinstance(verdict, Admit) is is_admitted
+            assert isinstance(decide(placement, within, Random(1)), Admit)
+        waiting = _placed(8, queue_s=0.05)
+        assert isinstance(decide(waiting, beyond, Random(1)), Refuse)
+        assert isinstance(decide(waiting, within, Random(1)), Admit)
+
+    asyncio.run(main())
+
+
+def test_one_lost_answer_does_not_move_shared_parts_and_a_series_does():
+    async def main() -> None:
+        holder, other = upstream("u1"), upstream("u2")
+        prompt = prompt_of("p", 4000, "s", 3000)
+        holder.prefixes.note_parts(prompt.parts[:1])
+        holder.note_failure()
+        chosen = place([holder, other], prompt, ServiceSpeed(), 0.0)
+        assert chosen.upstream is holder
+        holder.note_failure()
+        holder.note_failure()
+        chosen = place([holder, other], prompt, ServiceSpeed(), 0.0)
+        assert chosen.upstream is other
+
+    asyncio.run(main())
+
+
+def test_long_prompts_go_to_engines_whose_neighbours_leave_them_alone():
+    async def main() -> None:
+        calm, slow = upstream("u1"), upstream("u2")
+        for _ in range(20):
+            slow.note_answer(UpstreamLoad(1, 0, 64, 2.5))
+        calm.backlog.add(2000.0, 0.0)
+        chosen = place([slow, calm], prompt_of("p", 8000), ServiceSpeed(), 0.0)
+        assert chosen.upstream is calm
+        chosen = place([slow, calm], prompt_of("q", 200), ServiceSpeed(), 0.0)
+        assert chosen.upstream is slow
+
+    asyncio.run(main())
+
+
 def test_shared_parts_are_read_on_few_engines():
     def arrivals() -> Iterator[Arrival]:
         rng = Random(9)
