--- a/src/chicorylead/cli/config_commands.py
+++ b/src/chicorylead/cli/config_commands.py
@@ -14,6 +14,7 @@
 from chicorylead.cli.table import print_json, print_table
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.ids import Offset
+from chicorylead.platform.settings_file import read_settings
 from chicorylead.records.log import CONFIG_STREAM
 from chicorylead.records.schema import Record, to_model
 from chicorylead.settings import load_settings
@@ -178,7 +179,8 @@
 
 
 async def check(args: argparse.Namespace) -> int:
-    """Check a settings file."""
-    cfg = load_settings(Path(args.file))
+    """Check a settings file: the project's own, or the users' platform's."""
+    path = Path(args.file)
+    cfg = read_settings(path) if path.suffix == ".json" else load_settings(path)
     sys.stdout.write(f"settings of router {cfg.id!r} are valid\n")
     return 0
--- a/src/chicorylead/cli/main.py
+++ b/src/chicorylead/cli/main.py
@@ -15,7 +15,7 @@
 from absl.flags import argparse_flags
 
 from chicorylead import __version__
-from chicorylead.cli import config_commands, fleet_commands, run_commands
+from chicorylead.cli import config_commands, fleet_commands, log_commands, run_commands
 from chicorylead.errors import Refusal
 
 __all__ = ["main"]
@@ -127,7 +127,7 @@
     settings = commands.add_parser("settings", help="settings of a router")
     actions = settings.add_subparsers(metavar="ACTION", required=True)
     check = _add(actions, "check", "check a settings file", config_commands.check)
-    check.add_argument("file", help="YAML file")
+    check.add_argument("file", help="YAML file, or JSON of the users' platform")
 
 
 def _add_fleet_commands(commands: Any) -> None:
@@ -162,6 +162,11 @@
     burn = _add(actions, "burn", "service-level burn", fleet_commands.report_burn)
     burn.add_argument("--plot", metavar="FILE", help="write a picture (PNG)")
     _add_operator_flags(burn)
+    explain = _add(
+        commands, "explain", "what became of a request", log_commands.explain
+    )
+    explain.add_argument("request", help="id that the caller gave to the attempt")
+    explain.add_argument("logs", nargs="+", metavar="LOG", help="logs of routers")
 
 
 async def _print_version(args: argparse.Namespace) -> int:
--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -131,6 +131,8 @@
             queue_s=placement.queue_s,
             limit_s=refuse.limit_s,
             has_room=placement.has_room,
+            n_running=placement.upstream.work.n_requests,
+            n_slots=placement.upstream.entry.n_slots,
             standing=demand.standing,
             overload=self._shares.overload(),
             waited_s=req.waited_s,
--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -17,10 +17,12 @@
 
 __all__ = ["OnRecord", "OnSnapshot", "StreamFollower"]
 
-READ_WAIT_S = 5.0  # one call in 5 s costs little and bounds an unnoticed silence
-READ_PAUSE_S = 0.08  # joins records that come in quick succession
+# Calls are paid for; a connection that went silent shows itself sooner, and peers tell
+# a router that it is behind.
+READ_WAIT_S = 12.0
+READ_PAUSE_S = 0.25  # joins records; an eighth of the time in which a change applies
 RETRY_MIN_S = 0.1  # several tries within the time in which a change has to apply
-RETRY_MAX_S = 0.4  # a store that comes back is noticed well within 2 s
+RETRY_MAX_S = 0.6  # a store that comes back is noticed well within 2 s
 
 OnRecord = Callable[[StreamRecord], None]
 OnSnapshot = Callable[[list[StreamRecord]], None]
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -316,9 +316,17 @@
         started: float,
         sender: Sender,
     ) -> None:
-        self._metrics.count(f"sends.{type(outcome).__name__.lower()}")
+        name = type(outcome).__name__.lower()
+        self._metrics.count("sends", upstream=placement.upstream.id, outcome=name)
         if sender.first_event_s is not None:
-            self._metrics.timing("first_event", sender.first_event_s)
+            self._metrics.timing(
+                "first_event", sender.first_event_s, upstream=placement.upstream.id
+            )
+            self._metrics.timing(
+                "longest_pause",
+                sender.longest_pause_s,
+                operation=req.operation.name,
+            )
         self._log.info(
             "request_sent",
             request=req.id,
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -71,6 +71,7 @@
         started = self._clock()
         reply = CallerReply(send, self._closes())
         head: CallerHead | None = None
+        req: ForwardRequest | None = None
         try:
             head = decode_head(
                 scope["method"], scope["chicorylead.target"], scope["headers"]
@@ -83,40 +84,55 @@
                 raise _CallerGone
             accepted = self._forwarder.accept(req)
             await self._forward_while_connected(accepted, reply, receive)
-            self._metrics.count("requests.answered")
+            outcome = "answered"
         except Refusal as exc:
+            outcome = exc.kind.value
             await self._refuse(exc, head, reply)
         except Failure as exc:
-            self._metrics.count("requests.cut")
+            outcome = "cut"
             self._log.warning(
                 "answer_cut", request=head.request_id if head else None, reason=exc
             )
         except _CallerGone:
-            self._metrics.count("requests.caller_gone")
+            outcome = "caller_gone"
             self._log.info(
                 "caller_gone",
                 request=head.request_id if head else None,
                 after_s=self._clock() - started,
             )
         except Exception as exc:
-            # A defect must not look like an answer that promises anything.
-            self._metrics.count("requests.defects")
-            self._log.error(
-                "request_defect",
-                request=head.request_id if head else None,
-                reason=repr(exc),
-                where=_innermost(exc),
+            outcome = "defect"
+            await self._answer_defect(exc, head, reply)
+        self._measure(req, outcome, self._clock() - started)
+
+    def _measure(
+        self, req: ForwardRequest | None, outcome: str, seconds: float
+    ) -> None:
+        operation = req.operation.name if req is not None else "none"
+        organisation = (req.organisation if req is not None else None) or "none"
+        self._metrics.timing("request", seconds, operation=operation, outcome=outcome)
+        self._metrics.timing(
+            "organisation_request", seconds, organisation=organisation, outcome=outcome
+        )
+
+    async def _answer_defect(
+        self, exc: Exception, head: CallerHead | None, reply: CallerReply
+    ) -> None:
+        """Answer after an error of the router's own, promising nothing."""
+        self._log.error(
+            "request_defect",
+            request=head.request_id if head else None,
+            reason=repr(exc),
+            where=_innermost(exc),
+        )
+        if not reply.is_started:
+            await reply.whole(
+                *encode_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
             )
-            if not reply.is_started:
-                await reply.whole(
-                    *encode_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
-                )
-        self._metrics.timing("request", self._clock() - started)
 
     async def _refuse(
         self, exc: Refusal, head: CallerHead | None, reply: CallerReply
     ) -> None:
-        self._metrics.count(f"requests.refused.{exc.kind.value}")
         if exc.kind is not ErrorKind.QUEUE_FULL:
             self._log.info(
                 "request_ended",
--- /dev/null
+++ b/tests/gateway/test_attempt_machine.py
@@ -0,0 +1,217 @@
+"""Attempts at one request, against a model of what its upstreams did."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from absl import logging as absl_logging
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from chicorylead.admission.fair_share import FairShare
+from chicorylead.errors import Refusal
+from chicorylead.gateway import forward as forward_module
+from chicorylead.gateway.admission import Admission
+from chicorylead.gateway.forward import Forwarder
+from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
+from chicorylead.gateway.reply import CallerReply
+from chicorylead.gateway.settings import Bounds
+from chicorylead.ids import RequestId, ServiceName
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.outcome.poison import PoisonList
+from chicorylead.platform.caller import encode_refusal
+from chicorylead.traffic.model import Operation, Repeat
+from chicorylead.traffic.request import CallerHead, ForwardRequest
+from chicorylead.upstream.connection import Failure, FailureKind
+from tests.gateway.replay import upstream
+
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+MAX_RUNS = 10  # beyond every limit that is drawn
+STEPS = ("served", "shed", "unreachable", "failed", "broken", "silent", "cut")
+
+
+@dataclass
+class _World:
+    """What the upstreams did with the request, as a caller's engineer would see it."""
+
+    script: list[str]
+    runs: list[str] = field(default_factory=list)
+    n_after_possible_run: int = 0
+    n_events: int = 0
+
+    def step(self) -> str:
+        """Return what the next upstream does; the last one is like all after it."""
+        return self.script.pop(0) if len(self.script) > 1 else self.script[0]
+
+
+class _ScriptedSender:
+    """Plays the next step of the world in place of an exchange."""
+
+    world: _World
+
+    def __init__(self, req, placement, speed, events, reply, *_) -> None:
+        self._upstream = placement.upstream
+        self._events, self._reply = events, reply
+        self.first_event_s, self.longest_pause_s, self.head = None, 0.0, None
+
+    async def send(self):
+        world = self.world
+        name = world.step()
+        if world.runs:
+            world.n_after_possible_run += 1
+        match name:
+            case "shed":
+                return NotRun("status 503", was_received=True)
+            case "unreachable":
+                return NotRun("no connection", was_received=False)
+        world.runs.append(self._upstream.id)
+        assert len(world.runs) <= MAX_RUNS, "ran without end"
+        match name:
+            case "served":
+                await self._reply.whole(200, (), b"answer")
+                return Served(200)
+            case "failed":
+                return Rejected(500, (), b"failed")
+            case "cut" if not self._reply.is_started:
+                await self._reply.start(200, ())
+        kind = FailureKind.SILENT if name == "silent" else FailureKind.BROKEN
+        return Broken(Failure(kind, name))
+
+
+def _request(repeat: Repeat, max_attempts: int, now: float) -> ForwardRequest:
+    service = ServiceName("engines")
+    operation = Operation(
+        "op", "h", "/", repeat, False, 9.0, 0.4, 1, max_attempts, False, False,
+        ((service, 1.0),),
+    )  # fmt: skip
+    head = CallerHead(RequestId("r"), "POST", b"/", "/", "h", None, 9.0, None, None, ())
+    return ForwardRequest(head, b"x", operation, service, None, now, now + 9.0, 0.0)
+
+
+async def _play(world: _World, repeat: Repeat, max_attempts: int):
+    """Return the status that the caller got, and whether its answer is whole."""
+    loop = asyncio.get_running_loop()
+    upstreams = [upstream(f"u{n}") for n in range(4)]
+    for one in upstreams:
+        one.prefixes = None
+    registry = SimpleNamespace(ready=lambda service: upstreams)
+    log = EventLog()
+    admission = Admission(
+        registry, FairShare(4.0, loop.time), lambda s: 0.4, log, Random(1)
+    )
+    sent: list[dict] = []
+
+    async def send(message: dict) -> None:
+        sent.append(message)
+
+    reply = CallerReply(send, closes=False)
+    forwarder = Forwarder(
+        admission,
+        PoisonList(Random(1)),
+        Bounds(),
+        lambda upstream, parts: None,
+        lambda: 1,
+        log,
+        Metrics(),
+    )
+    forwarder._probe_crash = lambda upstream, fingerprint: None
+    _ScriptedSender.world = world
+    req = _request(repeat, max_attempts, loop.time())
+    try:
+        await forwarder.forward(forwarder.accept(req), reply)
+    except Refusal as exc:
+        if not reply.is_started:
+            return encode_refusal(exc)[0], False
+    except Failure:
+        pass
+    return sent[0]["status"], reply.is_finished
+
+
+def _check(world: _World, repeat: Repeat, max_attempts: int, status: int, whole: bool):
+    if repeat is Repeat.ONCE:
+        assert len(world.runs) <= 1, "ran twice"
+        assert world.n_after_possible_run == 0, "sent again after it may have run"
+    assert len(world.runs) <= max_attempts, "on more upstreams than are allowed"
+    if status in PROMISES_NOT_RUN:
+        assert not world.runs, "told not run although it may have run"
+    if status == 200 and whole:
+        assert world.runs, "an answer that no upstream gave"
+
+
+class AttemptMachine(RuleBasedStateMachine):
+    """Steps are chosen one after the other; the request is played at each look."""
+
+    @initialize(repeat=st.sampled_from(Repeat), max_attempts=st.integers(1, 3))
+    def start(self, repeat: Repeat, max_attempts: int) -> None:
+        self.repeat, self.max_attempts = repeat, max_attempts
+        self.script: list[str] = []
+
+    @precondition(lambda self: len(self.script) < 5)
+    @rule(step=st.sampled_from(STEPS))
+    def upstream_does(self, step: str) -> None:
+        self.script.append(step)
+
+    @invariant()
+    def promises_hold(self) -> None:
+        world = _World(list(self.script or ["served"]))
+        status, whole = asyncio.run(_play(world, self.repeat, self.max_attempts))
+        _check(world, self.repeat, self.max_attempts, status, whole)
+
+
+@pytest.fixture(autouse=True)
+def _scripted(monkeypatch):
+    monkeypatch.setattr(forward_module, "Sender", _ScriptedSender)
+    level = absl_logging.get_verbosity()
+    absl_logging.set_verbosity(absl_logging.FATAL)
+    yield
+    absl_logging.set_verbosity(level)
+
+
+MACHINE = settings(max_examples=30, stateful_step_count=5, deadline=None)
+# A failure that is expected need not be made small.
+FINDS = settings(
+    MACHINE,
+    max_examples=200,
+    phases=(Phase.generate,),
+    report_multiple_bugs=False,
+)
+
+
+def test_promises_hold_whatever_upstreams_do():
+    run_state_machine_as_test(AttemptMachine, settings=MACHINE)
+
+
+def test_the_machine_finds_a_second_run_without_its_guard(monkeypatch):
+    monkeypatch.setattr(Forwarder, "_may_run_again", lambda *_: True)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(AttemptMachine, settings=FINDS)
+
+
+def test_the_machine_finds_a_false_not_run_without_its_guard(monkeypatch):
+    def end(self, progress, kind, detail):
+        return Refusal(kind, detail)
+
+    monkeypatch.setattr(Forwarder, "_end", end)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(AttemptMachine, settings=FINDS)
+
+
+@given(
+    st.lists(st.sampled_from(STEPS), min_size=1, max_size=6), st.sampled_from(Repeat)
+)
+@settings(max_examples=50, deadline=None)
+def test_a_refusal_that_promises_not_run_is_kept_apart(script, repeat):
+    world = _World(list(script))
+    status, whole = asyncio.run(_play(world, repeat, 2))
+    _check(world, repeat, 2, status, whole)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -383,8 +383,12 @@
     async def check(fleet: Fleet) -> None:
         await fleet.call("/look/a")
         _, _, page, _ = await call(fleet.ports[5], "/metrics")
-        assert b"chicorylead_sends_served_total 1.0" in page
-        assert b"chicorylead_request_seconds_bucket" in page
+        assert b'sends_total{outcome="served",upstream="u0"} 1.0' in page
+        assert (
+            b'_request_seconds_count{operation="look",outcome="answered"} 1.0' in page
+        )
+        told = b'organisation_request_seconds_bucket{le="15.0",organisation="north"'
+        assert told in page
 
     _run([_serve], check)
 
--- /dev/null
+++ b/tests/gateway/test_story.py
@@ -0,0 +1,83 @@
+"""The story of a request from the logs of routers."""
+
+import argparse
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicorylead.cli.log_commands import explain
+from chicorylead.errors import Refusal
+from chicorylead.report.log_lines import read_lines
+from chicorylead.report.story import tell
+
+# Lines as routers wrote them on played days, one of them with the platform's prefix.
+REFUSED = (
+    "  12.10 r1 time=100.000 level=info event=request_refused router=r1 request=aa "
+    "operation=op organisation=north upstream=u1 queue_s=0.031 limit_s=0 "
+    "has_room=True n_running=30 n_slots=64 standing=1.53 overload=1.6 waited_s=0 "
+    "retry_after_s=0.13"
+)
+SENT = (
+    "time=101.900 level=info event=request_sent router=r2 request=bb operation=op "
+    "organisation=north upstream=u2 send=1 waited_s=0 queue_s=0.01 expected_s=0.06 "
+    "unread=784 load=10/2/1.00 first_event_s=0.083 longest_pause_s=0.707 "
+    'took_s=4.2 outcome={} detail="{}"'
+)
+ENDED = (
+    "time=101.901 level=info event=request_ended router=r2 request=bb "
+    'kind=upstream_failed detail="connection closed" started=False'
+)
+CRASHED = (
+    "time=101.950 level=warning event=upstream_crashed router=r2 upstream=u2 "
+    "fingerprint=f n_crashes=1"
+)
+OTHER = CRASHED.replace("upstream=u2", "upstream=u9")
+
+
+def _tell(request: str, *lines: str):
+    return tell(request, list(read_lines(lines)))
+
+
+def test_a_refusal_beyond_the_share_is_explained():
+    story = _tell("aa", REFUSED, ENDED)
+    assert len(story.steps) == 1
+    assert "1.53 of its share" in story.steps[0]
+    assert "30 of 64" in story.steps[0]
+    assert "had its share already" in story.cause
+
+
+def test_an_unknown_outcome_names_the_crash_of_its_own_upstream():
+    sent = SENT.format("Broken", "broken: connection closed before the end")
+    story = _tell("bb", OTHER, CRASHED, ENDED, sent)
+    assert [step.split(":")[0].split()[-1] for step in story.steps] == ["r2", "r2"]
+    assert len(story.around) == 1
+    assert "upstream_crashed" in story.cause and "upstream=u2" in story.cause
+
+
+def test_a_late_stream_tells_its_pause_and_the_load():
+    story = _tell("bb", SENT.format("Served", "status 200"))
+    assert "0.707" in story.cause and "10/2/1.00" in story.cause
+
+
+def test_a_request_that_no_line_names_has_no_story():
+    assert _tell("zz", REFUSED, ENDED) is None
+
+
+def test_the_command_joins_files(tmp_path, capsys):
+    first, second = tmp_path / "r1.log", tmp_path / "r2.log"
+    first.write_text(REFUSED + "\nnot a line of ours\n")
+    second.write_text(ENDED + "\n")
+    args = argparse.Namespace(request="bb", logs=[str(first), str(second)])
+    assert asyncio.run(explain(args)) == 0
+    assert "cause: " in capsys.readouterr().out
+    args.logs = [str(tmp_path / "none.log")]
+    with pytest.raises(Refusal):
+        asyncio.run(explain(args))
+
+
+@given(st.lists(st.text()))
+def test_any_file_can_be_read(texts):
+    for line in read_lines(["event=x " + text for text in texts]):
+        tell("r", [line])
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -22,6 +22,8 @@
     "args",
     [
         ("settings", "check", "/nowhere.yaml"),
+        ("settings", "check", "/nowhere.json"),
+        ("explain", "id", "/nowhere.log"),
         ("config", "validate", "/nowhere.yaml"),
         ("router", "--settings", "/nowhere.yaml"),
         ("status", "--router", "127.0.0.1:1", "--token", "operator-token"),
