One copy of a datagram for each zone; a fault soak

Change: a zone with three routers or more gets one copy, by turns through each of its routers, which passes it on; signs of life stay direct, and a router that is not named among the heard ones greets directly. Ruled out: fewer reports, as engines then fill unevenly.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -97,6 +97,7 @@
         self._poison = PoisonList(rng)
         self._link = BeaconLink(
             cfg.id,
+            cfg.zone,
             incarnation,
             cfg.peers,
             cfg.seeds,
--- a/src/chicorylead/peer/beacon.py
+++ b/src/chicorylead/peer/beacon.py
@@ -5,6 +5,9 @@
 engines: they go out some times a second, signs of life more often, and what was sent
 to engines within milliseconds, as routers that learn late of each other's sends all
 fill the same engine.
+
+Bytes between zones are paid for. A zone with several routers gets one copy of what all
+of them are told, by turns through each of them; signs of life always go directly.
 """
 
 import asyncio
@@ -19,6 +22,7 @@
 from chicorylead.peer.datagram import (
     Beacon,
     Pulse,
+    Relayed,
     SendReport,
     Sends,
     WorkReport,
@@ -37,6 +41,7 @@
 PROBE_S = 1.0  # a router that returns is heard of within a second
 FORGET_S = 120.0  # of the order of the time for which a VM is replaced
 SENDS_DELAY_PER_PEER_S = 0.001  # joins the sends of some milliseconds
+MIN_RELAYED = 3  # in a zone; a lost relay then costs a third of its datagrams at most
 MAX_DATAGRAM_BYTES = 60_000  # below the limit of UDP
 
 
@@ -108,6 +113,7 @@
 
     Args:
         router: Id of this router.
+        zone: Its zone.
         incarnation: Another number at each start.
         address: Where datagrams are received; peers use the same port.
         seeds: IP numbers of some routers.
@@ -121,6 +127,7 @@
     def __init__(
         self,
         router: str,
+        zone: str,
         incarnation: int,
         address: tuple[str, int],
         seeds: tuple[str, ...],
@@ -134,6 +141,7 @@
         rng: Random,
     ) -> None:
         self._id = router
+        self._zone = zone
         self._incarnation = incarnation
         self._address = address
         self._make = make
@@ -152,9 +160,10 @@
         self._peers: dict[str, Peer] = {}
         self._by_host: dict[str, Peer] = {}
         self._sequence = 0
+        self._n_fanned_out = 0
         self._new_sends: dict[str, SendReport] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Beacon | Pulse | Sends)
+        self._decoder = msgspec.msgpack.Decoder(Beacon | Pulse | Relayed | Sends)
 
     def live(self) -> list[Peer]:
         """Return the peers that were heard lately."""
@@ -205,14 +214,41 @@
             self._metrics.count("beacon.too_large")
             self._log.error("beacon_too_large", n_bytes=len(data))
             return
+        self._fan_out(data)
         for address, host in list(self._hosts.items()):
-            if address == self._address[0]:
+            if address in live_hosts or address == self._address[0]:
                 continue
-            if address not in live_hosts:
-                if now - host.probed_at < PROBE_S:
-                    continue
+            if now - host.probed_at >= PROBE_S:
                 host.probed_at = now
-            self._send_to(address, data)
+                self._send_to(address, data)
+
+    def _fan_out(self, data: bytes) -> None:
+        """Send a datagram to all live peers, to another zone once if it has several."""
+        zones: dict[str, list[str]] = {}
+        for peer in self.live():
+            zones.setdefault(peer.beacon.zone, []).append(peer.beacon.host)
+        self._n_fanned_out += 1
+        for zone, hosts in zones.items():
+            if zone == self._zone or len(hosts) < MIN_RELAYED:
+                for host in hosts:
+                    self._send_to(host, data)
+                continue
+            relay = hosts[self._n_fanned_out % len(hosts)]
+            message = Relayed(self._address[0], data, is_final=False)
+            self._send_to(relay, self._encoder.encode(message))
+
+    def _take_relayed(self, message: Relayed, sender: str) -> None:
+        """Take in what a peer passes on, and pass it on in the own zone."""
+        peer = self._by_host.get(sender)
+        if peer is None or not peer.is_live or message.origin not in self._by_host:
+            return
+        if not message.is_final:
+            final = Relayed(message.origin, message.data, is_final=True)
+            data = self._encoder.encode(final)
+            for other in self.live():
+                if other.beacon.zone == self._zone:
+                    self._send_to(other.beacon.host, data)
+        self._take(message.data, message.origin)
 
     def _send_pulse(self) -> None:
         self._sequence += 1
@@ -233,18 +269,19 @@
         """
         if not self._new_sends:
             delay_s = SENDS_DELAY_PER_PEER_S * len(self._peers)
-            self._loop.call_later(delay_s, self._send_reports)
+            self._loop.call_later(delay_s, self.send_reports)
         known = self._new_sends.get(work.upstream)
         if known is not None:
             parts = [*known.parts, *parts]
         self._new_sends[work.upstream] = SendReport(work, parts)
 
-    def _send_reports(self) -> None:
+    def send_reports(self) -> None:
+        """Tell live peers of all sends since the last time."""
+        if not self._new_sends:
+            return
         reports = list(self._new_sends.values())
         self._new_sends.clear()
-        data = self._encoder.encode(Sends(self._incarnation, reports))
-        for host in self._live_hosts():
-            self._send_to(host, data)
+        self._fan_out(self._encoder.encode(Sends(self._incarnation, reports)))
 
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -261,20 +298,25 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in what a peer tells."""
+        self._take(data, addr[0])
+
+    def _take(self, data: bytes, origin: str) -> None:
         try:
             message = self._decoder.decode(data)
         except msgspec.DecodeError as exc:
             self._metrics.count("beacon.malformed")
-            self._log.warning("beacon_malformed", sender=addr[0], reason=exc)
+            self._log.warning("beacon_malformed", sender=origin, reason=exc)
             return
         match message:
             case Beacon():
-                self._take_beacon(message, addr[0])
+                self._take_beacon(message, origin)
             case Pulse():
-                if (peer := self._by_host.get(addr[0])) is not None:
+                if (peer := self._by_host.get(origin)) is not None:
                     peer.note_pulse(message, self._loop.time())
+            case Relayed():
+                self._take_relayed(message, origin)
             case Sends():
-                self._take_sends(message, addr[0])
+                self._take_sends(message, origin)
 
     def _take_sends(self, sends: Sends, sender: str) -> None:
         peer = self._by_host.get(sender)
@@ -309,6 +351,19 @@
         for host in (beacon.host, *beacon.peers):
             self._hosts.setdefault(host, _Host(now)).named_at = now
         self._on_beacon(beacon)
+        if self._address[0] not in beacon.peers:
+            self._greet(beacon.host)
+
+    def _greet(self, address: str) -> None:
+        """Send the own state directly to a router that does not hear this one."""
+        now = self._loop.time()
+        host = self._hosts[address]
+        if now - host.probed_at < PROBE_S:
+            return
+        host.probed_at = now
+        self._sequence += 1
+        beacon = self._make(self._sequence, sorted(self._live_hosts()))
+        self._send_to(address, self._encoder.encode(beacon))
 
     def note_silence(self) -> None:
         """Take peers that are no longer heard for lost, and forget them in time."""
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -9,7 +9,15 @@
 
 from chicorylead.link.message import PoisonNotice
 
-__all__ = ["Beacon", "Pulse", "SendReport", "Sends", "UsageReport", "WorkReport"]
+__all__ = [
+    "Beacon",
+    "Pulse",
+    "Relayed",
+    "SendReport",
+    "Sends",
+    "UsageReport",
+    "WorkReport",
+]
 
 
 class WorkReport(Struct, frozen=True, array_like=True):
@@ -66,6 +74,20 @@
     ends: tuple[int, int]
 
 
+class Relayed(Struct, frozen=True, array_like=True, tag="r"):
+    """A datagram that comes by way of another router.
+
+    Attributes:
+        origin: IP number of the router that made it.
+        data: The datagram.
+        is_final: Whether the receiver keeps it for itself.
+    """
+
+    origin: str
+    data: bytes
+    is_final: bool
+
+
 class Beacon(Struct, frozen=True, array_like=True, tag="b"):
     """State of a router.
 
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -182,6 +182,7 @@
 def _link(on_beacon, on_silent=lambda beacon: None) -> BeaconLink:
     return BeaconLink(
         "r1",
+        "a",
         1,
         ("127.0.0.1", 1),
         (),
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,266 @@
+"""The processes under test, and the faults that reach them from outside."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from random import Random
+
+from chicorylead.standin.network import FaultProxy, LinkRule, RouteSpec
+from tests.gateway.fakes import FakeStore, FakeUpstream, configuration, entry
+from tests.soak.ledger import Ledger
+from tests.soak.neighbours import Caller, SoakUpstream
+
+__all__ = ["SoakFleet"]
+
+GRACE_S = 4.0
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class _Router:
+    """One gateway process.
+
+    Attributes:
+        callers: Address for callers, through the proxy.
+    """
+
+    def __init__(self, number: int, folder: Path) -> None:
+        self.number = number
+        self.host = f"127.0.0.{number + 2}"
+        self.port = _free_port()
+        self.callers = ("", 0)
+        self._path = folder / f"router-{number}.json"
+        self._log = (folder / f"router-{number}.log").open("ab")
+        self._process: asyncio.subprocess.Process | None = None
+
+    def write_settings(self, store: str, peer_port: int, control_port: int) -> None:
+        """Write the platform's file; control and readiness ports are alike on all."""
+        addresses = {
+            "frontend": f"{self.host}:{self.port}",
+            "readiness": f"{self.host}:{control_port + 1}",
+            "controlPlane": f"{self.host}:{control_port}",
+            "directory": f"{self.host}:{control_port + 2}",
+        }
+        settings = {
+            "nodeName": f"router-{self.number}",
+            "ip": self.host,
+            "zone": "a",
+            "region": "r",
+            "listen": addresses,
+            "portRange": [peer_port, peer_port],
+            "seeds": [f"127.0.0.{n}:{control_port}" for n in (2, 3)],
+            "platform": {"address": store},
+            "bounds": {"graceS": GRACE_S},
+        }
+        self._path.write_text(json.dumps(settings))
+
+    async def start(self) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "chicorylead", "gateway"]
+        self._process = await asyncio.create_subprocess_exec(
+            *command,
+            "--settings",
+            str(self._path),
+            stdout=self._log,
+            stderr=self._log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+
+    def signal(self, number: int) -> None:
+        """Signal the process, if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait(self, limit_s: float) -> bool:
+        """Wait for the end of the process; return whether it ended."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._process.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """End the process."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+        self._log.close()
+
+
+class SoakFleet:
+    """Routers, store and upstreams with a proxy on each path between them.
+
+    Args:
+        rng: Draws all faults.
+        folder: Where settings and logs are written.
+    """
+
+    def __init__(
+        self, rng: Random, folder: Path, n_routers: int = 3, n_upstreams: int = 4
+    ) -> None:
+        self._rng = rng
+        self.ledger = Ledger()
+        self.proxy = FaultProxy()
+        self.store = FakeStore()
+        self.routers = [_Router(n, folder) for n in range(n_routers)]
+        self._n_upstreams = n_upstreams
+        self._upstreams: dict[str, FakeUpstream] = {}
+        self._scripts: dict[str, SoakUpstream] = {}
+        self._version = 1
+        self._faults: set[asyncio.Task[None]] = set()
+        self.done: list[str] = []
+
+    # -- life cycle
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.proxy.start()
+        await self.store.start()
+        self.store.put("keyed.op", "config", configuration())
+        for _ in range(self._n_upstreams):
+            await self.add_upstream()
+        peer_port, control_port = _free_port(), _free_port()
+        for router in self.routers:
+            number = router.number
+            store = await self._route(f"store-{number}", f"127.0.0.1:{self.store.port}")
+            router.write_settings(store, peer_port, control_port)
+            address = await self._route(
+                f"call-{number}", f"{router.host}:{router.port}"
+            )
+            host, _, port = address.rpartition(":")
+            router.callers = (host, int(port))
+            await router.start()
+
+    async def stop(self) -> None:
+        """End all processes that were started here."""
+        for task in self._faults:
+            task.cancel()
+        await asyncio.gather(*self._faults, return_exceptions=True)
+        for router in self.routers:
+            await router.close()
+        for upstream in self._upstreams.values():
+            await upstream.stop()
+        await self.proxy.stop()
+        await self.store.stop()
+
+    async def _route(self, name: str, target: str) -> str:
+        return await self.proxy.add_route(
+            RouteSpec(name=name, target=target, group=name)
+        )
+
+    def callers(self, n: int) -> list[Caller]:
+        """Return callers that use all routers."""
+        addresses = [router.callers for router in self.routers]
+        return [
+            Caller(f"c{i}", addresses, self.ledger, Random(self._rng.random()))
+            for i in range(n)
+        ]
+
+    # -- upstreams
+
+    async def add_upstream(self) -> None:
+        """Start an upstream and list it."""
+        name = f"u{len(self._scripts)}"
+        script = SoakUpstream(name, self.ledger, Random(self._rng.random()), 0.08)
+        upstream = FakeUpstream(script)
+        await upstream.start()
+        address = await self._route(f"up-{name}", f"127.0.0.1:{upstream.port}")
+        self._upstreams[name], self._scripts[name] = upstream, script
+        self.store.put("keyed.servers", name, entry(upstream, address=address))
+
+    def remove_upstream(self) -> None:
+        """Drop the entry of the oldest upstream, which serves on."""
+        listed = [name for name in self._upstreams if name in self._scripts]
+        name = listed[0]
+        self.store.put("keyed.servers", name, None)
+        self._upstreams[f"gone-{name}"] = self._upstreams.pop(name)
+
+    def calm(self) -> None:
+        """End all faults."""
+        self.store.is_down = False
+        self.proxy.apply(LinkRule(group="*"))
+        for script in self._scripts.values():
+            script.trouble = 0.0
+        for router in self.routers:
+            router.signal(signal.SIGCONT)
+
+    # -- faults
+
+    async def settle(self) -> None:
+        """Wait for the faults that are under way."""
+        await asyncio.gather(*self._faults, return_exceptions=True)
+
+    def strike(self) -> None:
+        """Begin one fault; others may be under way."""
+        router = self._rng.choice(self.routers)
+        for_s = self._rng.uniform(0.2, 1.5)
+        faults = {
+            "kill": lambda: self._kill(router, for_s),
+            "term": lambda: self._term(router),
+            "pause": lambda: self._pause(router, for_s),
+            "reload": lambda: self._signal(router, signal.SIGHUP),
+            "store_down": lambda: self._store_down(for_s),
+            "path": lambda: self._path(for_s),
+            "upstreams": self._replace_upstream,
+            "configuration": self._configure,
+        }
+        name = self._rng.choice(list(faults))
+        self.done.append(name)
+        task = asyncio.ensure_future(faults[name]())
+        self._faults.add(task)
+        task.add_done_callback(self._faults.discard)
+
+    async def _kill(self, router: _Router, for_s: float) -> None:
+        router.signal(signal.SIGKILL)
+        await router.wait(5.0)
+        await asyncio.sleep(for_s)
+        await router.start()
+
+    async def _term(self, router: _Router) -> None:
+        router.signal(signal.SIGTERM)
+        if not await router.wait(GRACE_S + 3.0):
+            router.signal(signal.SIGKILL)
+            await router.wait(5.0)
+        await router.start()
+
+    async def _pause(self, router: _Router, for_s: float) -> None:
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        router.signal(signal.SIGCONT)
+
+    async def _signal(self, router: _Router, number: int) -> None:
+        router.signal(number)
+
+    async def _store_down(self, for_s: float) -> None:
+        self.store.is_down = True
+        await asyncio.sleep(2 * for_s)
+        self.store.is_down = False
+
+    async def _path(self, for_s: float) -> None:
+        ends = [f"{e}-{r.number}" for e in ("store", "call") for r in self.routers]
+        ends += [f"up-{name}" for name in self._scripts]
+        modes = ("refuse", "silent", "to_target_lost", "to_source_lost", "open")
+        group, mode = self._rng.choice(ends), self._rng.choice(modes)
+        delay_s = self._rng.uniform(0.0, 0.1) if mode == "open" else 0.0
+        self.proxy.apply(LinkRule(group=group, mode=mode, extra_delay_s=delay_s))
+        await asyncio.sleep(for_s)
+        self.proxy.apply(LinkRule(group=group))
+
+    async def _replace_upstream(self) -> None:
+        await self.add_upstream()
+        await asyncio.sleep(0.1)
+        self.remove_upstream()
+
+    async def _configure(self) -> None:
+        self._version += self._rng.randrange(1, 4)
+        self.store.put("keyed.op", "config", configuration(self._version))
