--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -21,9 +21,9 @@
 QUEUE_SHARE = 0.4
 STANDING_MET = 0.6  # from here to its whole share an organisation is slowed down
 STANDING_BEYOND = 1.0
-# Part of an engine's places up to which it takes requests beyond a share: it then
-# reads a long prompt without making the streams beside it pause for long.
-BEYOND_CROWD = 0.2
+# Requests that an engine may run beside one beyond a share: few streams then pause
+# while it reads a long prompt.
+BEYOND_RUNNING = 12
 RETURN_MIN_S = 0.1  # several round trips, so that something has changed by then
 RETURN_MAX_S = 4.0  # callers honour a third of the time that they have left
 RETURN_SPREAD = 0.5  # callers refused together come back spread over this part
@@ -81,9 +81,9 @@
 
 
 def _is_crowded(placement: Placement, beyond: float) -> bool:
-    upstream = placement.upstream
-    crowd = upstream.work.n_requests / upstream.entry.n_slots
-    return crowd > 1.0 - beyond * (1.0 - BEYOND_CROWD)
+    n_slots = placement.upstream.entry.n_slots
+    n_withheld = beyond * max(0, n_slots - BEYOND_RUNNING)
+    return placement.upstream.work.n_requests > n_slots - n_withheld
 
 
 def _back_s(excess_s: float, rng: Random) -> float:
