Load report and settings reference

`chicorylead report load` tells from logs how organisations and upstreams were served, with a plot; `settings reference` prints docs/SETTINGS.md, made from the types, and a test keeps the page equal to them.

--- a/src/chicorylead/cli/config_commands.py
+++ b/src/chicorylead/cli/config_commands.py
@@ -17,6 +17,7 @@
 from chicorylead.platform.settings_file import read_settings
 from chicorylead.records.log import CONFIG_STREAM
 from chicorylead.records.schema import Record, to_model
+from chicorylead.report.settings_page import settings_page
 from chicorylead.settings import load_settings
 
 __all__ = [
@@ -25,6 +26,7 @@
     "operator_token",
     "publish",
     "read_records",
+    "reference",
     "show",
     "validate",
 ]
@@ -184,3 +186,9 @@
     cfg = read_settings(path) if path.suffix == ".json" else load_settings(path)
     sys.stdout.write(f"settings of router {cfg.id!r} are valid\n")
     return 0
+
+
+async def reference(args: argparse.Namespace) -> int:
+    """Print the reference of settings."""
+    sys.stdout.write(settings_page())
+    return 0
--- a/src/chicorylead/cli/log_commands.py
+++ b/src/chicorylead/cli/log_commands.py
@@ -5,13 +5,17 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from chicorylead.cli.table import print_json, print_table
 from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.report.load import LoadRow, load_report
 from chicorylead.report.log_lines import LogLine, read_lines
+from chicorylead.report.plot import draw_lines
 from chicorylead.report.story import tell
 
-__all__ = ["explain"]
+__all__ = ["explain", "report_load"]
 
 EXIT_NOT_FOUND = 1
+MAX_DRAWN = 8  # lines that a person can tell apart
 
 
 async def explain(args: argparse.Namespace) -> int:
@@ -28,6 +32,47 @@
     return 0
 
 
+async def report_load(args: argparse.Namespace) -> int:
+    """Print how organisations and upstreams were served."""
+    report = load_report(_read(args.logs))
+    if args.plot:
+        names = [row.name for row in report.organisations[:MAX_DRAWN]]
+        draw_lines(
+            Path(args.plot),
+            "Answered requests by organisation",
+            "requests/s",
+            "seconds",
+            report.times,
+            {name: report.served[name] for name in names},
+        )
+    if args.json:
+        print_json(report)
+        return 0
+    _print_rows("ORGANISATION", report.organisations)
+    sys.stdout.write("\n")
+    _print_rows("UPSTREAM", report.upstreams)
+    return 0
+
+
+def _print_rows(head: str, rows: list[LoadRow]) -> None:
+    heads = (head, "SERVED", "REFUSED", "FAILED", "FIRST S", "99 IN 100", "PAUSE S")
+    print_table(
+        heads,
+        [
+            (
+                r.name,
+                r.served,
+                r.refused,
+                r.failed,
+                r.first_s,
+                r.first_late_s,
+                r.pause_s,
+            )
+            for r in rows
+        ],
+    )
+
+
 def _read(paths: list[str]) -> Iterator[LogLine]:
     for path in paths:
         try:
--- a/src/chicorylead/cli/main.py
+++ b/src/chicorylead/cli/main.py
@@ -127,6 +127,7 @@
     settings = commands.add_parser("settings", help="settings of a router")
     actions = settings.add_subparsers(metavar="ACTION", required=True)
     check = _add(actions, "check", "check a settings file", config_commands.check)
+    _add(actions, "reference", "print all settings", config_commands.reference)
     check.add_argument("file", help="YAML file, or JSON of the users' platform")
 
 
@@ -162,6 +163,10 @@
     burn = _add(actions, "burn", "service-level burn", fleet_commands.report_burn)
     burn.add_argument("--plot", metavar="FILE", help="write a picture (PNG)")
     _add_operator_flags(burn)
+    load = _add(actions, "load", "who was served, from logs", log_commands.report_load)
+    load.add_argument("logs", nargs="+", metavar="LOG", help="logs of routers")
+    load.add_argument("--plot", metavar="FILE", help="write a picture (PNG)")
+    load.add_argument("--json", action="store_true", help="print JSON")
     explain = _add(
         commands, "explain", "what became of a request", log_commands.explain
     )
--- a/tests/gateway/test_story.py
+++ b/tests/gateway/test_story.py
@@ -7,8 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicorylead.cli.log_commands import explain
+from chicorylead.cli.log_commands import explain, report_load
 from chicorylead.errors import Refusal
+from chicorylead.report.load import load_report
 from chicorylead.report.log_lines import read_lines
 from chicorylead.report.story import tell
 
@@ -81,3 +82,29 @@
 def test_any_file_can_be_read(texts):
     for line in read_lines(["event=x " + text for text in texts]):
         tell("r", [line])
+
+
+def test_a_report_tells_who_was_served_and_who_refused():
+    served = SENT.format("Served", "status 200")
+    broken = SENT.format("Broken", "closed").replace("time=101.900", "time=103.900")
+    report = load_report(read_lines([REFUSED, served, broken]), step_s=1.0)
+    (row,) = report.organisations
+    assert (row.name, row.served, row.refused, row.failed) == ("north", 1, 1, 1)
+    assert row.first_s == pytest.approx(0.083)
+    assert [row.name for row in report.upstreams] == ["u2", "u1"]
+    assert report.times == [0.0, 1.0, 2.0, 3.0]
+    assert report.served["north"] == [0.0, 1.0, 0.0, 0.0]
+
+
+def test_a_report_of_no_lines_is_empty():
+    report = load_report([])
+    assert (report.organisations, report.times, report.seconds) == ([], [], 0.0)
+
+
+def test_the_report_is_printed_and_drawn(tmp_path, capsys):
+    log, picture = tmp_path / "r.log", tmp_path / "r.png"
+    log.write_text("\n".join((REFUSED, SENT.format("Served", "status 200"))))
+    args = argparse.Namespace(logs=[str(log)], plot=str(picture), json=False)
+    assert asyncio.run(report_load(args)) == 0
+    assert "north" in capsys.readouterr().out
+    assert picture.read_bytes().startswith(b"\x89PNG")
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -2,10 +2,12 @@
 
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
 from chicorylead import __version__
+from chicorylead.report.settings_page import settings_page
 
 
 def _run(*args):
@@ -61,3 +63,9 @@
     done = _run("config", "validate", str(path))
     assert done.returncode == 2
     assert "schema 3" in done.stderr
+
+
+def test_the_reference_of_settings_is_that_of_the_types():
+    page = Path(__file__).parent.parent / "docs" / "SETTINGS.md"
+    assert page.read_text() == settings_page()
+    assert "| required |  |" not in page.read_text()
