Close callers' connections after answers while more than 1,500 are open

Cause: on the grown sites the busiest router had 10,200 descriptors of 10,222 and 160 MB: refused callers come back on new connections and leave the old ones open, for 12 s of idle time. Change: beyond 1,500 open connections answers close theirs. Ruled out: memory of prompts (alike on both sites and small).

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -47,6 +47,9 @@
 IDLE_SWEEP_S = 1.0  # idle connections are kept for whole seconds
 METRICS_PATH = "/metrics"
 MAX_SUSPECTS_TOLD = 20  # keeps datagrams small; the newest matter
+# Callers whose requests are refused come back on new connections and leave the old ones
+# open; a process has some thousands of descriptors, and 10 kB go into each connection.
+MAX_KEPT_CONNECTIONS = 1_500
 HTTP_IDLE_TIMEOUT_S = 20  # longer than callers leave a connection idle
 
 
@@ -129,7 +132,7 @@
         self._ingress = Ingress(
             forwarder,
             lambda: self._configuration,
-            lambda: self._is_draining,
+            self._closes,
             lambda: self._is_refusing,
             self.log,
             self._metrics,
@@ -226,6 +229,10 @@
             took_s=self._clock() - started,
         )
 
+    def _closes(self) -> bool:
+        """Tell whether connections are closed after their answers."""
+        return self._is_draining or self._callers.n_connections > MAX_KEPT_CONNECTIONS
+
     @property
     def n_upstreams(self) -> int:
         """Return the number of upstreams that are listed."""
--- a/src/chicorylead/http_server.py
+++ b/src/chicorylead/http_server.py
@@ -139,6 +139,11 @@
         self._server = _Server(cfg)
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def n_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.server_state.connections)
+
     async def start(self) -> None:
         """Start to accept connections."""
         self._task = asyncio.create_task(self._server.serve(sockets=self._socks))
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -9,6 +9,7 @@
 import pytest
 import uvloop
 
+from chicorylead.gateway import app
 from tests.gateway.fakes import (
     FakeStore,
     FakeUpstream,
@@ -413,3 +414,21 @@
             return fleet.n_received - n_before
 
     assert run(main()) == 0
+
+
+def test_connections_are_closed_after_answers_while_there_are_too_many(monkeypatch):
+    async def check(fleet: Fleet) -> None:
+        _, headers, _, _ = await fleet.call("/look/a")
+        assert headers.get("connection") != "close"
+        monkeypatch.setattr(app, "MAX_KEPT_CONNECTIONS", 3)
+        idle = [socket.create_connection(("127.0.0.1", fleet.ports[0])) for _ in "1234"]
+        await asyncio.sleep(0.1)
+        _, headers, body, _ = await fleet.call("/look/a")
+        assert (headers["connection"], body) == ("close", b"hello")
+        for sock in idle:
+            sock.close()
+        await asyncio.sleep(0.1)
+        _, headers, _, _ = await fleet.call("/look/a")
+        assert headers.get("connection") != "close"
+
+    _run([_serve], check)
