One crash ejects an upstream once

Whoever resets all connections of an upstream at once took it away for 8 s. Change: failures of an upstream that is ejected already count only if they are its probe's. Test: twelve failures eject once, for a second; a failed probe doubles.

--- a/src/chicorylead/upstream/live.py
+++ b/src/chicorylead/upstream/live.py
@@ -98,6 +98,9 @@
         self.failure_rate += SMOOTHING * 1.5 * (1.0 - self.failure_rate)
         was_probe = self._is_probing
         self._is_probing = False
+        if self.ejected_until and not was_probe:
+            # One crash ends all that ran there; it counts as one.
+            return False
         if not (was_probe or is_unreachable or self.failure_rate > EJECT_AT_FAILURES):
             return False
         self.ejected_until = self._clock() + self._eject_s
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -17,6 +17,7 @@
 from chicorylead.peer.datagram import Beacon, Pulse
 from chicorylead.upstream.backlog import TOKENS_PER_S, ReadingBacklog
 from chicorylead.upstream.events import EventSplitter, StreamGap
+from chicorylead.upstream.live import EJECT_S
 from chicorylead.upstream.prefix_memory import PrefixMemory
 from tests.gateway.replay import prompt_of, upstream
 
@@ -148,6 +149,19 @@
     assert memory.missing_tokens(new) == 1
 
 
+def test_one_crash_under_many_requests_ejects_once():
+    async def main() -> None:
+        bad = upstream("u1")
+        ejected = [bad.note_failure() for _ in range(12)]
+        assert ejected.count(True) == 1
+        assert bad.ejected_until - asyncio.get_running_loop().time() <= EJECT_S
+        bad.note_sent()
+        assert bad.note_failure()
+        assert bad.ejected_until - asyncio.get_running_loop().time() > EJECT_S
+
+    asyncio.run(main())
+
+
 def test_an_upstream_that_fails_is_tried_alone_before_it_gets_work_again():
     async def main() -> None:
         bad = upstream("u1")
