Tests draw their ports below those of the system, on the hosts that they use

Change: ports are drawn below that range and tried on all hosts that tests use, for TCP and UDP; one function in place of two.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import base64
+import socket
 import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from random import SystemRandom
 
 import msgspec
 from starlette.requests import Request
@@ -23,6 +25,7 @@
     "call",
     "configuration",
     "entry",
+    "free_ports",
     "gateway_on",
     "request",
     "sealed",
@@ -32,6 +35,36 @@
 KEY = "key-of-north"
 
 
+# Below the ports that the system hands out to connections, and to port 0.
+PORTS = range(15_000, 30_000)
+HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4")
+
+
+def free_ports(n: int) -> list[int]:
+    """Return ports that are free on all hosts, for TCP and UDP.
+
+    Other runs on the machine draw as well, so each draws anew.
+    """
+    draw = SystemRandom()
+    ports: list[int] = []
+    while len(ports) < n:
+        port = draw.choice(PORTS)
+        if port not in ports and _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    for host in HOSTS:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                try:
+                    sock.bind((host, port))
+                except OSError:
+                    return False
+    return True
+
+
 class FakeStore:
     """The platform's store, with two topics of keyed records."""
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -17,6 +17,7 @@
     call,
     configuration,
     entry,
+    free_ports,
     gateway_on,
     request,
     sealed,
@@ -30,22 +31,12 @@
 )
 
 
-def _free_ports(n: int) -> list[int]:
-    socks = [socket.socket() for _ in range(n)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class Fleet:
     """A store, upstreams and one gateway."""
 
     def __init__(self, scripts: list[Callable[[Received, Writer], Awaitable[None]]]):
         self.upstreams = [FakeUpstream(script) for script in scripts]
-        self.ports = _free_ports(6)
+        self.ports = free_ports(6)
 
     async def __aenter__(self) -> "Fleet":
         self.store = FakeStore()
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -21,14 +21,15 @@
     call,
     configuration,
     entry,
+    free_ports,
     sealed,
 )
-from tests.gateway.test_gateway import _free_ports, _serve
+from tests.gateway.test_gateway import _serve
 
 
 def _settings(number: int, store_port: int, peer_port: int) -> GatewaySettings:
     host = f"127.0.0.{number}"
-    ports = _free_ports(4)
+    ports = free_ports(4)
     callers, readiness, control, directory = ((host, port) for port in ports)
     return GatewaySettings(
         id=RouterId(f"router-{number}"),
@@ -72,7 +73,7 @@
         await self.other_store.start()
         self.store.put("keyed.op", "config", configuration())
         self.store.put("keyed.servers", "u0", entry(self.upstream))
-        (peer_port,) = _free_ports(1)
+        (peer_port,) = free_ports(1)
         self.cfgs = [
             _settings(2, self.store.port, peer_port),
             _settings(3, self.other_store.port, peer_port),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -4,13 +4,18 @@
 import json
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 from random import Random
 
 from chicorylead.standin.network import FaultProxy, LinkRule, RouteSpec
-from tests.gateway.fakes import FakeStore, FakeUpstream, configuration, entry
+from tests.gateway.fakes import (
+    FakeStore,
+    FakeUpstream,
+    configuration,
+    entry,
+    free_ports,
+)
 from tests.soak.ledger import Ledger
 from tests.soak.neighbours import Caller, SoakUpstream
 
@@ -19,12 +24,6 @@
 GRACE_S = 4.0
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class _Router:
     """One gateway process.
 
@@ -35,7 +34,7 @@
     def __init__(self, number: int, folder: Path) -> None:
         self.number = number
         self.host = f"127.0.0.{number + 2}"
-        self.port = _free_port()
+        (self.port,) = free_ports(1)
         self.callers = ("", 0)
         self._path = folder / f"router-{number}.json"
         self._log = (folder / f"router-{number}.log").open("ab")
@@ -129,7 +128,7 @@
         self.store.put("keyed.op", "config", configuration())
         for _ in range(self._n_upstreams):
             await self.add_upstream()
-        peer_port, control_port = _free_port(), _free_port()
+        peer_port, control_port = free_ports(2)
         for router in self.routers:
             number = router.number
             store = await self._route(f"store-{number}", f"127.0.0.1:{self.store.port}")
