Log what stands behind a standing: tokens, level, age of peers' usage

Callers were refused by a standing that nobody could check: the lines held neither what an organisation had got over the fleet nor the level that it was compared with nor how old the peers' figures were, so that a wrong level and late usage looked alike. request_refused has them now, request_sent the tokens and the standing at admission, share_level tells each second what a router believes, and the metrics count tokens by organisation and outcome. No decision changes.

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -10,7 +10,14 @@
 
 from chicorylead.ids import OrganisationId
 
-__all__ = ["FairShare", "Usage", "max_min_level"]
+__all__ = [
+    "NOTHING_ASKED",
+    "Account",
+    "FairShare",
+    "ShareLevel",
+    "Usage",
+    "max_min_level",
+]
 
 
 ALL_SERVED = 0.9  # beyond it what is refused is a clump, not a lack of capacity
@@ -32,6 +39,52 @@
     n_events: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Account:
+    """What an organisation asked for and got within the window, at all routers.
+
+    Attributes:
+        asked: Tokens of all its requests.
+        admitted: Tokens of the requests that were sent on.
+        level: Tokens up to which every organisation's demand can be met.
+        usage_age_s: Age of the oldest usage of a peer in these figures, seconds.
+    """
+
+    asked: float
+    admitted: float
+    level: float
+    usage_age_s: float
+
+    @property
+    def standing(self) -> float:
+        """Return what it got, relative to the level; 0 while all demand can be met."""
+        return self.admitted / max(self.level, 1.0)
+
+
+NOTHING_ASKED = Account(0.0, 0.0, float("inf"), 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class ShareLevel:
+    """What all organisations asked for and got, and the level that follows.
+
+    Attributes:
+        asked: Tokens of all requests.
+        admitted: Tokens of the requests that were sent on.
+        level: Tokens up to which every organisation's demand can be met.
+        n_organisations: Organisations with requests in the window.
+        n_peers: Peers whose usage is counted.
+        usage_age_s: Age of the oldest usage of a peer, seconds.
+    """
+
+    asked: float
+    admitted: float
+    level: float
+    n_organisations: int
+    n_peers: int
+    usage_age_s: float
+
+
 def max_min_level(demands: Mapping[object, float], capacity: float) -> float:
     """Return the amount to which every demand can be met, without end if all can.
 
@@ -54,7 +107,8 @@
 
     Attributes:
         totals: Usage of each one at all routers.
-        overload: What all asked for, relative to what was admitted.
+        asked: What all asked for, tokens.
+        admitted: What all got, tokens.
         level: Amount to which demands can be met.
     """
 
@@ -62,9 +116,8 @@
         self, totals: dict[OrganisationId, Usage], capacity: float | None
     ) -> None:
         self.totals = totals
-        asked = sum(usage.asked for usage in totals.values())
-        admitted = sum(usage.admitted for usage in totals.values())
-        self.overload = asked / max(admitted, 1.0)
+        self.asked = asked = sum(usage.asked for usage in totals.values())
+        self.admitted = admitted = sum(usage.admitted for usage in totals.values())
         demands = {name: usage.asked for name, usage in totals.items()}
         if capacity is None:
             # What is admitted is what the upstreams can do, unless it is nearly all.
@@ -95,6 +148,7 @@
         self._events: deque[tuple[float, OrganisationId, float, float]] = deque()
         self._own: dict[OrganisationId, Usage] = {}
         self._peers: dict[str, dict[OrganisationId, Usage]] = {}
+        self._told_at: dict[str, float] = {}
         self._summary = _Summary({}, None)
         self._summed_at = -SUMMARY_AGE_S
 
@@ -112,28 +166,39 @@
         """Replace the usage of a peer; an empty one forgets it."""
         if usage:
             self._peers[peer] = usage
+            self._told_at[peer] = self._clock()
         else:
             self._peers.pop(peer, None)
+            self._told_at.pop(peer, None)
 
     def own(self) -> dict[OrganisationId, Usage]:
         """Return the usage at this router."""
         self._forget(self._clock() - self._window_s)
         return self._own
 
-    def standing(self, organisation: OrganisationId) -> float:
-        """Return what an organisation got, relative to the level of max-min shares.
+    def account(self, organisation: OrganisationId) -> Account:
+        """Return what an organisation asked for and got, against its share."""
+        summary = self._summarise()
+        usage = summary.totals.get(organisation)
+        if usage is None:
+            return NOTHING_ASKED
+        return Account(usage.asked, usage.admitted, summary.level, self._usage_age_s())
 
-        It is 0 while all that is asked for can be met.
-        """
+    def level(self) -> ShareLevel:
+        """Return what all organisations asked for and got."""
         summary = self._summarise()
-        mine = summary.totals.get(organisation)
-        if mine is None:
-            return 0.0
-        return mine.admitted / max(summary.level, 1.0)
-
-    def overload(self) -> float:
-        """Return what all ask for, relative to what is admitted."""
-        return self._summarise().overload
+        return ShareLevel(
+            summary.asked,
+            summary.admitted,
+            summary.level,
+            len(summary.totals),
+            len(self._peers),
+            self._usage_age_s(),
+        )
+
+    def _usage_age_s(self) -> float:
+        now = self._clock()
+        return max((now - at for at in self._told_at.values()), default=0.0)
 
     def _summarise(self) -> _Summary:
         now = self._clock()
--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Set
+from dataclasses import dataclass
 from random import Random
 
 from chicorylead.admission.cost import service_of
-from chicorylead.admission.fair_share import FairShare
+from chicorylead.admission.fair_share import NOTHING_ASKED, Account, FairShare
 from chicorylead.admission.gate import Admit, Demand, Refuse, decide
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.speed import ServiceSpeed
@@ -16,12 +17,25 @@
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.registry import Registry
 
-__all__ = ["NO_UPSTREAM_RETRY_S", "Admission"]
+__all__ = ["NO_UPSTREAM_RETRY_S", "Admission", "Admitted"]
 
 NO_UPSTREAM_RETRY_S = 0.5  # upstreams that restart are listed within about a second
 NONE_EXCLUDED: frozenset[UpstreamId] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that is sent on.
+
+    Attributes:
+        placement: The first upstream that gets it.
+        account: What its organisation had got by then.
+    """
+
+    placement: Placement
+    account: Account
+
+
 class Admission:
     """Pick upstreams for requests, and refuse what cannot be in time.
 
@@ -62,7 +76,7 @@
             candidates, req.head.prompt, self.speed(req.service), self._clock()
         )
 
-    def admit(self, req: ForwardRequest) -> Placement:
+    def admit(self, req: ForwardRequest) -> Admitted:
         """Return the upstream for a request that is new here.
 
         Raises:
@@ -75,14 +89,15 @@
                 f"no upstream of {req.service!r} is listed",
                 NO_UPSTREAM_RETRY_S,
             )
-        demand = self._demand(req)
+        account = self._account(req)
+        demand = Demand(self._shortest_objective_s(req.service), account.standing)
         verdict = decide(placement, demand, self._rng)
         self._note_usage(req, isinstance(verdict, Admit))
         match verdict:
             case Admit(placement=admitted):
-                return admitted
+                return Admitted(admitted, account)
             case Refuse() as refuse:
-                self._log_refused(req, placement, demand, refuse)
+                self._log_refused(req, placement, account, refuse)
                 raise Refusal(
                     ErrorKind.QUEUE_FULL,
                     f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
@@ -98,11 +113,10 @@
         # When all have failed the fault is elsewhere, and any is as good.
         return opened or listed
 
-    def _demand(self, req: ForwardRequest) -> Demand:
-        standing = 0.0
-        if req.organisation is not None and req.head.prompt is not None:
-            standing = self._shares.standing(req.organisation)
-        return Demand(self._shortest_objective_s(req.service), standing)
+    def _account(self, req: ForwardRequest) -> Account:
+        if req.organisation is None or req.head.prompt is None:
+            return NOTHING_ASKED
+        return self._shares.account(req.organisation)
 
     def _note_usage(self, req: ForwardRequest, is_admitted: bool) -> None:
         """Note what an organisation asks for; a caller that is back asked before."""
@@ -119,7 +133,7 @@
         self,
         req: ForwardRequest,
         placement: Placement,
-        demand: Demand,
+        account: Account,
         refuse: Refuse,
     ) -> None:
         self._log.info(
@@ -133,8 +147,12 @@
             has_room=placement.has_room,
             n_running=placement.upstream.work.n_requests,
             n_slots=placement.upstream.entry.n_slots,
-            standing=demand.standing,
-            overload=self._shares.overload(),
+            tokens=service_of(req.head.prompt),
+            standing=account.standing,
+            got=account.admitted,
+            asked=account.asked,
+            level=account.level,
+            usage_age_s=account.usage_age_s,
             waited_s=req.waited_s,
             retry_after_s=refuse.retry_after_s,
         )
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -44,6 +44,7 @@
 DRAIN_SERVE_S = 2.5
 # The process ends before it is killed: part of the time that it is given.
 DRAIN_END_SHARE = 0.85
+SHARES_LOG_S = 1.0  # a quarter of the window over which shares are counted
 IDLE_SWEEP_S = 1.0  # idle connections are kept for whole seconds
 METRICS_PATH = "/metrics"
 MAX_SUSPECTS_TOLD = 20  # keeps datagrams small; the newest matter
@@ -185,6 +186,7 @@
         self.app.spawn(self._link.run(), "beacons")
         self.app.spawn(self._peer_records.run(), "peer_records")
         self.app.spawn(self._sweep_idle(), "idle_connections")
+        self.app.spawn(self._log_shares(), "shares")
         self.log.info(
             "gateway_started",
             zone=self._cfg.zone,
@@ -244,6 +246,23 @@
             for upstream in list(self._registry.all()):
                 upstream.close_stale()
 
+    async def _log_shares(self) -> None:
+        """Tell what this router believes of all organisations' shares."""
+        while True:
+            await asyncio.sleep(SHARES_LOG_S)
+            level = self._shares.level()
+            if level.n_organisations == 0:
+                continue
+            self.log.info(
+                "share_level",
+                level=level.level,
+                asked=level.asked,
+                admitted=level.admitted,
+                n_organisations=level.n_organisations,
+                n_peers=level.n_peers,
+                usage_age_s=level.usage_age_s,
+            )
+
     # -- configuration
 
     def _take_configuration(self, record: StreamRecord) -> None:
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from chicorylead.admission.cost import service_of
 from chicorylead.admission.placement import Placement
 from chicorylead.admission.retry_budget import RetryBudget
 from chicorylead.errors import ErrorKind, Refusal
-from chicorylead.gateway.admission import NO_UPSTREAM_RETRY_S, Admission
+from chicorylead.gateway.admission import NO_UPSTREAM_RETRY_S, Admission, Admitted
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
@@ -39,6 +40,7 @@
 
     events: EventSplitter
     fingerprint: str
+    standing: float
     excluded: set[UpstreamId] = field(default_factory=set)
     n_sends: int = 0
     n_runs: int = 0
@@ -50,11 +52,11 @@
     """A request that is sent on.
 
     Attributes:
-        placement: The first upstream that gets it.
+        admitted: The first upstream that gets it, and why.
     """
 
     req: ForwardRequest
-    placement: Placement
+    admitted: Admitted
     progress: _Progress
 
 
@@ -100,9 +102,20 @@
         if self._poison.is_convicted(fingerprint):
             raise Refusal(ErrorKind.POISON, "upstreams crashed under this request")
         self._budget(req.service).note_request()
-        placement = self._admission.admit(req)
+        try:
+            admitted = self._admission.admit(req)
+        except Refusal:
+            self._count_tokens(req, "refused")
+            raise
+        self._count_tokens(req, "admitted")
         events = EventSplitter(req.head.last_event_id)
-        return Accepted(req, placement, _Progress(events, fingerprint))
+        progress = _Progress(events, fingerprint, admitted.account.standing)
+        return Accepted(req, admitted, progress)
+
+    def _count_tokens(self, req: ForwardRequest, outcome: str) -> None:
+        tokens = round(service_of(req.head.prompt))
+        name = req.organisation or "none"
+        self._metrics.count("tokens", tokens, organisation=name, outcome=outcome)
 
     async def forward(self, accepted: Accepted, reply: CallerReply) -> None:
         """Answer a request.
@@ -111,7 +124,7 @@
             Refusal: There is no answer; nothing of one was sent.
             Failure: The answer was begun and cannot be ended.
         """
-        req, placement = accepted.req, accepted.placement
+        req, placement = accepted.req, accepted.admitted.placement
         progress = accepted.progress
         try:
             while not await self._send(req, placement, progress, reply):
@@ -334,6 +347,8 @@
             organisation=req.organisation,
             upstream=placement.upstream.id,
             send=progress.n_sends,
+            tokens=service_of(req.head.prompt),
+            standing=progress.standing,
             waited_s=req.waited_s,
             queue_s=placement.queue_s,
             expected_s=placement.wait_s,
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -114,9 +114,9 @@
     big, small = OrganisationId("big"), OrganisationId("small")
     shares.note(big, asked=1000.0, admitted=300.0)
     shares.note(small, asked=100.0, admitted=10.0)
-    assert shares.standing(big) > 1.0 > shares.standing(small)
+    assert shares.account(big).standing > 1.0 > shares.account(small).standing
     now[0] = 5.0
-    assert shares.standing(big) == 0.0
+    assert shares.account(big).standing == 0.0
 
 
 @given(st.lists(st.tuples(st.floats(0, 3), st.sampled_from("abc"), st.floats(0, 9))))
@@ -135,7 +135,7 @@
     shares = FairShare(4.0, lambda: 0.0)
     name = OrganisationId("only")
     for _ in range(5):
-        assert shares.standing(name) == 0.0
+        assert shares.account(name).standing == 0.0
         shares.note(name, asked=9000.0, admitted=9000.0)
 
 
