--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -5,11 +5,12 @@
 """
 
 import heapq
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
-from chicorylead.admission.fair_share import FairShare
+from chicorylead.admission.fair_share import FairShare, Usage
 from chicorylead.admission.gate import Admit, Demand, decide
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.speed import ServiceSpeed
@@ -37,6 +38,16 @@
     organisation: str
     prompt: Prompt
     objective_s: float = 0.4
+    router: int | None = None  # any, if None
+
+
+@dataclass
+class Second:
+    """What an organisation asked for and got within one second, tokens."""
+
+    asked: float = 0.0
+    got: float = 0.0
+    refused: int = 0
 
 
 @dataclass
@@ -89,6 +100,9 @@
         tell_s: Time until peers know of a send, seconds.
         decide_on: The admission decision.
         tokens_per_s: Throughput that organisations share; None if nobody states it.
+        n_slots: Requests that an engine runs at once.
+        run_s: Time that a request runs after its first event, seconds.
+        usage_s: Time until peers are told of usage, seconds.
     """
 
     def __init__(
@@ -98,19 +112,28 @@
         tell_s: float = 0.004,
         decide_on: Decide = decide,
         tokens_per_s: float | None = None,
+        n_slots: int = 64,
+        run_s: float = 0.0,
+        usage_s: float = 0.1,
     ) -> None:
         self._rng = Random(7)
         self._decide = decide_on
         self._tell_s = tell_s
+        self._run_s = run_s
+        self._usage_s = usage_s
+        self._is_usage_due = [False] * n_routers
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._n_events = 0
         self._free_at = [0.0] * n_engines
         self.tallies: dict[str, Tally] = {}
+        self.seconds: dict[int, dict[str, Second]] = defaultdict(
+            lambda: defaultdict(Second)
+        )
         self.read_tokens = 0.0
         self._routers = [
             _Router(
-                [upstream(f"u{i}") for i in range(n_engines)],
+                [upstream(f"u{i}", n_slots) for i in range(n_engines)],
                 FairShare(SHARE_WINDOW_S, lambda: self.now, lambda: tokens_per_s),
             )
             for _ in range(n_routers)
@@ -138,6 +161,10 @@
         tally = self.tallies.setdefault(arrival.organisation, Tally())
         tally.asked += 1
         number = self._rng.randrange(len(self._routers))
+        if arrival.router is not None:
+            number = arrival.router
+        second = self.seconds[int(self.now)][arrival.organisation]
+        second.asked += arrival.prompt.n_tokens
         router = self._routers[number]
         name = OrganisationId(arrival.organisation)
         tokens = float(arrival.prompt.n_tokens)
@@ -153,7 +180,10 @@
             case _:
                 router.shares.note(name, asked=tokens, admitted=0.0)
                 tally.refused += 1
-        self._at(self.now + 0.1, lambda: self._tell_usage(number))
+                second.refused += 1
+        if not self._is_usage_due[number]:
+            self._is_usage_due[number] = True
+            self._at(self.now + self._usage_s, lambda: self._tell_usage(number))
 
     def _send(
         self, number: int, placement: Placement, arrival: Arrival, tally: Tally
@@ -167,15 +197,17 @@
         reading_s = placement.unread_tokens / READ_TOKENS_PER_S
         done_at = max(self._free_at[index], self.now) + reading_s
         self._free_at[index] = done_at
-        total = chosen.backlog.own_total
-        self._at(
-            self.now + self._tell_s,
-            lambda: self._tell_send(number, index, total, arrival.prompt),
-        )
+        self._tell_work(number, index, arrival.prompt)
+
+        def end() -> None:
+            chosen.work.own = chosen.work.own - Work(0.0, 1)
+            self._tell_work(number, index, None)
 
         def first_event() -> None:
+            second = self.seconds[int(self.now)][arrival.organisation]
+            second.got += arrival.prompt.n_tokens
             chosen.backlog.note_first_event(marker, self.now)
-            chosen.work.own = chosen.work.own - Work(0.0, 1)
+            self._at(self.now + self._run_s, end)
             if self.now - arrival.at <= arrival.objective_s:
                 tally.in_time += 1
             else:
@@ -183,15 +215,28 @@
 
         self._at(done_at, first_event)
 
-    def _tell_send(self, sender: int, index: int, total: float, prompt: Prompt) -> None:
-        for number, router in enumerate(self._routers):
-            if number != sender:
-                there = router.upstreams[index]
-                there.backlog.note_peer_total(f"r{sender}", total, self.now)
-                there.prefixes.note_parts(prompt.parts[:-1])
+    def _tell_work(self, sender: int, index: int, prompt: Prompt | None) -> None:
+        """Tell peers of the work at an engine, and of a prompt that was sent there."""
+        own = self._routers[sender].upstreams[index]
+        work, total = own.work.own, own.backlog.own_total
+
+        def take() -> None:
+            for number, router in enumerate(self._routers):
+                if number != sender:
+                    there = router.upstreams[index]
+                    there.work.note_peer(f"r{sender}", work)
+                    there.backlog.note_peer_total(f"r{sender}", total, self.now)
+                    if prompt is not None:
+                        there.prefixes.note_parts(prompt.parts[:-1])
+
+        self._at(self.now + self._tell_s, take)
 
     def _tell_usage(self, sender: int) -> None:
-        usage = dict(self._routers[sender].shares.own())
+        self._is_usage_due[sender] = False
+        usage = {
+            name: Usage(used.asked, used.admitted)
+            for name, used in self._routers[sender].shares.own().items()
+        }
         for number, router in enumerate(self._routers):
             if number != sender:
                 router.shares.note_peer(f"r{sender}", usage)
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -9,6 +9,7 @@
 from chicorylead.admission.speed import ServiceSpeed
 from chicorylead.upstream.answer import UpstreamLoad
 from chicorylead.upstream.work import Work
+from tests.gateway.fairness import shortfalls
 from tests.gateway.replay import Arrival, Replay, prompt_of, upstream
 
 ENGINES_TOKENS_PER_S = 4 * 40_000.0
@@ -112,6 +113,41 @@
     assert sum(tally.in_time for tally in tallies.values()) >= 0.8 * asked
 
 
+def _two_floods(seconds: float = 14.0) -> Iterator[Arrival]:
+    """One floods all routers, one a single router with a third of that.
+
+    Ten others ask for little. Engines read more than is stated, as they keep parts of
+    prompts.
+    """
+    rng = Random(17)
+    rate = 6.0 * ENGINES_TOKENS_PER_S / 2000
+    now, number = 0.0, 0
+    names = ["flood", "lone", *(f"small{i}" for i in range(10))]
+    while now < seconds:
+        now += rng.expovariate(rate)
+        number += 1
+        name = rng.choices(names, [4.2, 1.4] + [0.04] * 10)[0]
+        prompt = prompt_of(f"p{number}", 2000)
+        yield Arrival(now, name, prompt, router=3 if name == "lone" else None)
+
+
+def test_an_organisation_at_one_router_gets_its_share_beside_one_at_all_routers():
+    """Both are beyond the level that the stated throughput gives."""
+
+    async def play() -> Replay:
+        replay = Replay(
+            n_routers=8,
+            tokens_per_s=0.6 * ENGINES_TOKENS_PER_S,
+            n_slots=16,
+            run_s=0.5,
+            usage_s=1.5,
+        )
+        replay.play(_two_floods())
+        return replay
+
+    assert list(shortfalls(asyncio.run(play()).seconds, 2000.0)) == []
+
+
 def _placed(n_requests: int, queue_s: float = 0.0) -> Placement:
     there = upstream("u")
     there.work.own = Work(0.0, n_requests)
