Share what is admitted, not the stated throughput

Callers of an organisation that asked for more than the level got a seventh of what another got. The level was made of the stated throughput (3.6 M tokens a window) while engines, which keep parts of prompts, were admitted 5.0 to 5.8 M: every organisation that asked for much stood beyond its share, and nobody's rule shared the rest. Now the level is made of what all were admitted, unless that is nearly all that was asked for. By construction some organisation that is refused then stands at or below the level, with engines that are lost or slow too (a stated throughput is then too high and nobody reaches the gate) and on each side of a cut fleet. Demand counts what was admitted, as callers that come back ask once.

Ruled out: late usage as the cause, as figures of one organisation differ by a tenth between routers.

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -2,6 +2,11 @@
 
 Load pattern: one organisation sends many times its usual amount. What it asks
 beyond its share is turned away first, so that the others notice nothing.
+
+Shares are parts of what all organisations were admitted. That is what there is to share
+whatever engines keep of prompts, however many of them are lost, and on each side of a
+partition; and some organisation that is refused then always stands at or below its
+share. A stated throughput has neither property.
 """
 
 from collections import deque
@@ -112,18 +117,16 @@
         level: Amount to which demands can be met.
     """
 
-    def __init__(
-        self, totals: dict[OrganisationId, Usage], capacity: float | None
-    ) -> None:
+    def __init__(self, totals: dict[OrganisationId, Usage]) -> None:
         self.totals = totals
         self.asked = asked = sum(usage.asked for usage in totals.values())
         self.admitted = admitted = sum(usage.admitted for usage in totals.values())
-        demands = {name: usage.asked for name, usage in totals.items()}
-        if capacity is None:
-            # What is admitted is what the upstreams can do, unless it is nearly all.
-            is_enough = admitted > ALL_SERVED * asked
-            capacity = float("inf") if is_enough else admitted
-        self.level = max_min_level(demands, capacity)
+        # A caller that comes back asks once and may be admitted in a later window.
+        demands = {
+            name: max(usage.asked, usage.admitted) for name, usage in totals.items()
+        }
+        is_enough = admitted > ALL_SERVED * asked
+        self.level = max_min_level(demands, float("inf") if is_enough else admitted)
 
 
 class FairShare:
@@ -132,24 +135,20 @@
     Args:
         window_s: Length of the window, seconds.
         clock: Event-loop time, seconds.
-        tokens_per_s: Returns the throughput that organisations share, tokens/s; None
-            where it is not known.
     """
 
     def __init__(
         self,
         window_s: float,
         clock: Callable[[], float],
-        tokens_per_s: Callable[[], float | None] = lambda: None,
     ) -> None:
         self._window_s = window_s
         self._clock = clock
-        self._tokens_per_s = tokens_per_s
         self._events: deque[tuple[float, OrganisationId, float, float]] = deque()
         self._own: dict[OrganisationId, Usage] = {}
         self._peers: dict[str, dict[OrganisationId, Usage]] = {}
         self._told_at: dict[str, float] = {}
-        self._summary = _Summary({}, None)
+        self._summary = _Summary({})
         self._summed_at = -SUMMARY_AGE_S
 
     def note(self, organisation: OrganisationId, asked: float, admitted: float) -> None:
@@ -203,9 +202,7 @@
     def _summarise(self) -> _Summary:
         now = self._clock()
         if now - self._summed_at >= SUMMARY_AGE_S:
-            rate = self._tokens_per_s()
-            capacity = None if rate is None else rate * self._window_s
-            self._summary = _Summary(self._totals(), capacity)
+            self._summary = _Summary(self._totals())
             self._summed_at = now
         return self._summary
 
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -95,9 +95,7 @@
                 rng,
             ),
         }
-        self._shares = FairShare(
-            cfg.bounds.share_window_s, self._clock, self._tokens_per_s
-        )
+        self._shares = FairShare(cfg.bounds.share_window_s, self._clock)
         self._poison = PoisonList(rng)
         self._link = BeaconLink(
             cfg.id,
@@ -305,10 +303,6 @@
         cfg = self._configuration
         return cfg.shortest_objective_s(service) if cfg is not None else 0.0
 
-    def _tokens_per_s(self) -> float | None:
-        cfg = self._configuration
-        return cfg.limits.tokens_per_s if cfg is not None else None
-
     def _store_back_since(self) -> float:
         follower = self._followers[Stream.UPSTREAMS]
         return follower.connected_at if follower.is_connected else self._clock()
