The further beyond its share, the less may run beside

Callers of an organisation at its share competed on equal terms with those of one far above it: from a standing of 1.0 on the gate had one limit for all, so that what was left went to who tried most often and at most routers. The requests that an engine may run beside one of an organisation now fall with the root of what it has beyond its share, without an end to the scale. Any limit that saturates has this fault; the queue limit ends at nothing and needs no more.

Test: 2 windows short before, at fast usage, when ten organisations ask for about their shares beside a flood (1.9 to 2.3 times its share).

--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -5,10 +5,13 @@
 request too many makes all behind it late, and the more an engine runs, the later each
 token of all its streams. A request is sent only while its first event is expected
 within its objective. An organisation that has had its share gets only engines that
-wait for nothing and run little. What cannot be in time is refused at once, while its
+wait for nothing and run little, the less the further it is beyond: limits that stayed
+the same from some standing on would share what is left by the number of attempts. What
+cannot be in time is refused at once, while its
 caller can still be served later.
 """
 
+import math
 from dataclasses import dataclass
 from random import Random
 
@@ -21,8 +24,8 @@
 QUEUE_SHARE = 0.4
 STANDING_MET = 0.6  # from here to its whole share an organisation is slowed down
 STANDING_BEYOND = 1.0
-# Requests that an engine may run beside one beyond a share: few streams then pause
-# while it reads a long prompt.
+# Requests that an engine may run beside one of an organisation that has had its share:
+# few streams then pause while it reads a long prompt.
 BEYOND_RUNNING = 12
 RETURN_MIN_S = 0.1  # several round trips, so that something has changed by then
 RETURN_MAX_S = 4.0  # callers honour a third of the time that they have left
@@ -68,7 +71,7 @@
     beyond = _beyond_share(demand)
     limit_s = QUEUE_SHARE * demand.shortest_objective_s * (1.0 - beyond)
     is_idle = placement.upstream.work.n_requests == 0
-    has_room = placement.has_room and not _is_crowded(placement, beyond)
+    has_room = placement.has_room and not _is_crowded(placement, demand)
     if is_idle or (placement.queue_s <= limit_s and has_room):
         return Admit(placement)
     return Refuse(_back_s(placement.queue_s - limit_s, rng), limit_s)
@@ -80,10 +83,12 @@
     return min(max(beyond, 0.0), 1.0)
 
 
-def _is_crowded(placement: Placement, beyond: float) -> bool:
+def _is_crowded(placement: Placement, demand: Demand) -> bool:
     n_slots = placement.upstream.entry.n_slots
-    n_withheld = beyond * max(0, n_slots - BEYOND_RUNNING)
-    return placement.upstream.work.n_requests > n_slots - n_withheld
+    n_withheld = _beyond_share(demand) * max(0, n_slots - BEYOND_RUNNING)
+    excess = max(demand.standing / STANDING_BEYOND, 1.0)
+    n_beside = (n_slots - n_withheld) / math.sqrt(excess)
+    return placement.upstream.work.n_requests > n_beside
 
 
 def _back_s(excess_s: float, rng: Random) -> float:
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -113,28 +113,37 @@
     assert sum(tally.in_time for tally in tallies.values()) >= 0.8 * asked
 
 
-def _two_floods(seconds: float = 14.0) -> Iterator[Arrival]:
-    """One floods all routers, one a single router with a third of that.
+FEW_ASK_FOR_LITTLE = {"flood": 4.2, "lone": 1.4, "small": 0.04}
+MANY_ASK_FOR_SHARES = {"flood": 2.0, "lone": 1.0, "small": 0.1}
 
-    Ten others ask for little. Engines read more than is stated, as they keep parts of
-    prompts.
+
+def _two_floods(
+    weights: dict[str, float], overload: float, seconds: float = 14.0
+) -> Iterator[Arrival]:
+    """One floods all routers, one a single router; ten others ask for less.
+
+    Args:
+        weights: What each asks for, relative to the others; "small" for each of ten.
+        overload: What all ask for, relative to what engines can read.
+        seconds: Length of the pattern.
     """
     rng = Random(17)
-    rate = 6.0 * ENGINES_TOKENS_PER_S / 2000
-    now, number = 0.0, 0
+    rate = overload * ENGINES_TOKENS_PER_S / 2000
     names = ["flood", "lone", *(f"small{i}" for i in range(10))]
+    parts = [weights["flood"], weights["lone"], *[weights["small"]] * 10]
+    now, number = 0.0, 0
     while now < seconds:
         now += rng.expovariate(rate)
         number += 1
-        name = rng.choices(names, [4.2, 1.4] + [0.04] * 10)[0]
+        name = rng.choices(names, parts)[0]
         prompt = prompt_of(f"p{number}", 2000)
         yield Arrival(now, name, prompt, router=3 if name == "lone" else None)
 
 
-def _shortfalls(**options) -> list[Shortfall]:
+def _shortfalls(arrivals: Iterator[Arrival], **options) -> list[Shortfall]:
     async def play() -> Replay:
-        replay = Replay(n_routers=8, n_slots=16, run_s=0.5, usage_s=1.5, **options)
-        replay.play(_two_floods())
+        replay = Replay(n_routers=8, n_slots=16, run_s=0.5, **options)
+        replay.play(arrivals)
         return replay
 
     return list(shortfalls(asyncio.run(play()).seconds, 2000.0))
@@ -142,16 +151,43 @@
 
 def test_an_organisation_at_one_router_gets_its_share_beside_one_at_all_routers():
     """Engines read more than operators state, as they keep parts of prompts."""
-    assert _shortfalls(knows_rates=True) == []
+    arrivals = _two_floods(FEW_ASK_FOR_LITTLE, overload=6.0)
+    assert _shortfalls(arrivals, knows_rates=True, usage_s=1.5) == []
+
+
+def test_organisations_near_their_shares_get_them_beside_one_far_beyond():
+    """Those at the level and those far above it compete for the same engines."""
+    arrivals = _two_floods(MANY_ASK_FOR_SHARES, overload=4.0)
+    assert _shortfalls(arrivals, knows_rates=True, usage_s=0.03) == []
+
+
+def test_the_further_beyond_its_share_the_less_engines_run_beside():
+    async def main() -> None:
+        most = [_most_beside(standing) for standing in (0.8, 1.0, 1.5, 2.0, 4.0, 8.0)]
+        assert most == sorted(set(most), reverse=True)
+
+    asyncio.run(main())
+
+
+def _most_beside(standing: float) -> int:
+    """Return the requests that an engine may run beside one that is admitted."""
+    demand = Demand(0.4, standing)
+    n_admitted = [
+        n_requests
+        for n_requests in range(16)
+        if isinstance(decide(_placed(n_requests, n_slots=16), demand, Random(1)), Admit)
+    ]
+    return max(n_admitted)
 
 
 def test_a_router_that_sends_little_does_not_take_engines_for_full():
     """Peers fill the engines, and the router has no first events to learn from."""
-    assert _shortfalls() == []
+    arrivals = _two_floods(FEW_ASK_FOR_LITTLE, overload=6.0)
+    assert _shortfalls(arrivals, usage_s=1.5) == []
 
 
-def _placed(n_requests: int, queue_s: float = 0.0) -> Placement:
-    there = upstream("u")
+def _placed(n_requests: int, queue_s: float = 0.0, n_slots: int = 64) -> Placement:
+    there = upstream("u", n_slots)
     there.work.own = Work(0.0, n_requests)
     return Placement(there, Work(0.0, 1), 2000.0, queue_s, queue_s + 0.1, True)
 
