Tell usage of organisations along with sends

Routers told each other each 1.6 s, against a window of 4 s, what they gave to an organisation. Reports of sends now carry the usage that changed, ten times a second at most, by the same relays.

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -148,6 +148,7 @@
         self._own: dict[OrganisationId, Usage] = {}
         self._peers: dict[str, dict[OrganisationId, Usage]] = {}
         self._told_at: dict[str, float] = {}
+        self._changed: set[OrganisationId] = set()
         self._summary = _Summary({})
         self._summed_at = -SUMMARY_AGE_S
 
@@ -159,6 +160,7 @@
         usage.asked += asked
         usage.admitted += admitted
         usage.n_events += 1
+        self._changed.add(organisation)
         self._forget(now - self._window_s)
 
     def note_peer(self, peer: str, usage: dict[OrganisationId, Usage]) -> None:
@@ -170,6 +172,21 @@
             self._peers.pop(peer, None)
             self._told_at.pop(peer, None)
 
+    def update_peer(self, peer: str, usage: dict[OrganisationId, Usage]) -> None:
+        """Take in the usage of some organisations at a peer."""
+        if usage:
+            self.note_peer(peer, {**self._peers.get(peer, {}), **usage})
+
+    def take_changed(self) -> dict[OrganisationId, Usage]:
+        """Return the usage at this router of those with requests since the last call.
+
+        It is given out once.
+        """
+        own = self.own()
+        changed = {name: own[name] for name in self._changed if name in own}
+        self._changed.clear()
+        return changed
+
     def own(self) -> dict[OrganisationId, Usage]:
         """Return the usage at this router."""
         self._forget(self._clock() - self._window_s)
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
 from starlette.requests import Request
@@ -105,6 +105,7 @@
             cfg.seeds,
             self._make_beacon,
             self._ends,
+            lambda: _usage_reports(self._shares.take_changed()),
             self._on_beacon,
             self._on_sends,
             self._on_silent,
@@ -315,10 +316,6 @@
 
     def _make_beacon(self, sequence: int, peers: list[str]) -> Beacon:
         work = [_work_report(upstream) for upstream in self._registry.all()]
-        usage = [
-            UsageReport(name, round(used.asked), round(used.admitted))
-            for name, used in self._shares.own().items()
-        ]
         return Beacon(
             id=self._cfg.id,
             host=self._cfg.peers[0],
@@ -330,7 +327,7 @@
             is_ready=self._directory.is_ready,
             ends=self._ends(),
             work=work,
-            usage=usage,
+            usage=_usage_reports(self._shares.own()),
             peers=peers,
             suspects=self._poison.notices(MAX_SUSPECTS_TOLD),
         )
@@ -343,13 +340,7 @@
                 self._take_work(upstream, beacon.id, report)
             else:
                 upstream.work.note_peer(beacon.id, NO_WORK)
-        self._shares.note_peer(
-            beacon.id,
-            {
-                OrganisationId(r.organisation): Usage(r.asked, r.admitted)
-                for r in beacon.usage
-            },
-        )
+        self._shares.note_peer(beacon.id, _usage(beacon.usage))
         for notice in beacon.suspects:
             if self._poison.take(notice):
                 self.log.warning(
@@ -362,6 +353,7 @@
         upstream.backlog.note_peer_total(peer, report.sent_tokens, self._clock())
 
     def _on_sends(self, peer: str, sends: Sends) -> None:
+        self._shares.update_peer(peer, _usage(sends.usage))
         for report in sends.reports:
             upstream = self._registry.get(UpstreamId(report.work.upstream))
             if upstream is None:
@@ -384,6 +376,20 @@
         self._shares.note_peer(beacon.id, {})
 
 
+def _usage_reports(usage: Mapping[OrganisationId, Usage]) -> list[UsageReport]:
+    return [
+        UsageReport(name, round(used.asked), round(used.admitted))
+        for name, used in usage.items()
+    ]
+
+
+def _usage(reports: Sequence[UsageReport]) -> dict[OrganisationId, Usage]:
+    return {
+        OrganisationId(report.organisation): Usage(report.asked, report.admitted)
+        for report in reports
+    }
+
+
 def _work_report(upstream: LiveUpstream) -> WorkReport:
     return WorkReport(
         upstream.id,
--- a/src/chicorylead/peer/beacon.py
+++ b/src/chicorylead/peer/beacon.py
@@ -4,7 +4,8 @@
 within a second. Whole states are large and change slowly beside the backlogs of
 engines: they go out some times a second, signs of life more often, and what was sent
 to engines within milliseconds, as routers that learn late of each other's sends all
-fill the same engine.
+fill the same engine. Usage of organisations goes along: where each router learns late
+what an organisation got at the others, all of them give it its share anew.
 
 Bytes between zones are paid for. A zone with several routers gets one copy of what all
 of them are told, by turns through each of them; signs of life always go directly.
@@ -25,6 +26,7 @@
     Relayed,
     SendReport,
     Sends,
+    UsageReport,
     WorkReport,
 )
 
@@ -41,6 +43,7 @@
 PROBE_S = 1.0  # a router that returns is heard of within a second
 FORGET_S = 120.0  # of the order of the time for which a VM is replaced
 SENDS_DELAY_PER_PEER_S = 0.001  # joins the sends of some milliseconds
+USAGE_S = 0.1  # a fortieth of the usual window over which shares are counted
 MIN_RELAYED = 3  # in a zone; a lost relay then costs a third of its datagrams at most
 MAX_DATAGRAM_BYTES = 60_000  # below the limit of UDP
 
@@ -119,6 +122,7 @@
         seeds: IP numbers of some routers.
         make: Makes the own state from a sequence number and the known peers.
         ends: Returns the offsets up to which the own streams are known.
+        take_usage: Returns the usage that changed since its last call.
         on_beacon: Called with each newer state of a peer.
         on_sends: Called with the id of a live peer and what it sent to upstreams.
         on_silent: Called with a peer that is no longer heard.
@@ -133,6 +137,7 @@
         seeds: tuple[str, ...],
         make: Callable[[int, list[str]], Beacon],
         ends: Callable[[], tuple[int, int]],
+        take_usage: Callable[[], list[UsageReport]],
         on_beacon: Callable[[Beacon], None],
         on_sends: Callable[[str, Sends], None],
         on_silent: Callable[[Beacon], None],
@@ -146,6 +151,8 @@
         self._address = address
         self._make = make
         self._ends = ends
+        self._take_usage = take_usage
+        self._usage_told_at = -USAGE_S
         self._on_beacon = on_beacon
         self._on_sends = on_sends
         self._on_silent = on_silent
@@ -281,7 +288,13 @@
             return
         reports = list(self._new_sends.values())
         self._new_sends.clear()
-        self._fan_out(self._encoder.encode(Sends(self._incarnation, reports)))
+        usage: list[UsageReport] = []
+        now = self._loop.time()
+        if now - self._usage_told_at >= USAGE_S:
+            self._usage_told_at = now
+            usage = self._take_usage()
+        sends = Sends(self._incarnation, reports, usage)
+        self._fan_out(self._encoder.encode(sends))
 
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -56,10 +56,15 @@
 
 
 class Sends(Struct, frozen=True, array_like=True, tag="s"):
-    """What a router sent to some upstreams."""
+    """What a router sent to some upstreams.
+
+    Attributes:
+        usage: Usage of the organisations that changed lately.
+    """
 
     incarnation: int
     reports: list[SendReport]
+    usage: list[UsageReport] = []
 
 
 class Pulse(Struct, frozen=True, array_like=True, tag="p"):
--- a/tests/gateway/test_fuzz.py
+++ b/tests/gateway/test_fuzz.py
@@ -125,7 +125,7 @@
     async def main() -> None:
         seen = []
         link = BeaconLink(
-            "r1", "a", 1, ("127.0.0.1", 1), (), lambda s, p: None, lambda: (0, 0),
+            "r1", "a", 1, ("127.0.0.1", 1), (), lambda s, p: None, lambda: (0, 0), list,
             seen.append, lambda peer, sends: seen.append(sends), seen.append,
             EventLog(), Metrics(), Random(1),
         )  # fmt: skip
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -158,7 +158,7 @@
 def test_organisations_near_their_shares_get_them_beside_one_far_beyond():
     """Those at the level and those far above it compete for the same engines."""
     arrivals = _two_floods(MANY_ASK_FOR_SHARES, overload=4.0)
-    assert _shortfalls(arrivals, knows_rates=True, usage_s=0.03) == []
+    assert _shortfalls(arrivals, knows_rates=True, usage_s=0.13) == []
 
 
 def test_the_further_beyond_its_share_the_less_engines_run_beside():
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -119,6 +119,19 @@
     assert shares.account(big).standing == 0.0
 
 
+def test_what_peers_tell_of_some_organisations_leaves_the_others():
+    here, there = FairShare(4.0, lambda: 0.0), FairShare(4.0, lambda: 0.0)
+    one, other = OrganisationId("one"), OrganisationId("other")
+    for name in (one, other):
+        there.note(name, asked=10.0, admitted=4.0)
+    here.update_peer("there", there.take_changed())
+    there.note(one, asked=10.0, admitted=4.0)
+    assert there.take_changed().keys() == {one}
+    here.update_peer("there", there.own())
+    assert (here.account(one).admitted, here.account(other).admitted) == (8.0, 4.0)
+    assert there.take_changed() == {}
+
+
 @given(st.lists(st.tuples(st.floats(0, 3), st.sampled_from("abc"), st.floats(0, 9))))
 def test_usage_of_any_size_enters_and_leaves_the_window(events):
     """Requests without tokens count as requests too."""
@@ -202,6 +215,7 @@
         (),
         lambda sequence, peers: _beacon(sequence),
         lambda: (0, 0),
+        list,
         on_beacon,
         lambda peer, sends: None,
         on_silent,
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -7,7 +7,13 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.peer.beacon import BeaconLink
-from chicorylead.peer.datagram import Beacon, WorkReport
+from chicorylead.peer.datagram import Beacon, Sends, UsageReport, WorkReport
+
+
+def _told(peer: str, sends: Sends) -> Counter:
+    told = Counter({f"sends {peer}": 1})
+    told.update(f"usage {report.organisation}" for report in sends.usage)
+    return told
 
 
 class _Network:
@@ -41,8 +47,9 @@
             ("10.0.0.0",),
             lambda sequence, peers: self._beacon(host, sequence, peers),
             lambda: (0, 0),
+            lambda: [UsageReport("o", 20, 10)],
             lambda beacon: heard.update({f"beacon {beacon.id}": 1}),
-            lambda peer, sends: heard.update({f"sends {peer}": 1}),
+            lambda peer, sends: heard.update(_told(peer, sends)),
             lambda beacon: None,
             EventLog(),
             Metrics(),
@@ -110,6 +117,17 @@
     _run(3, 2, check)
 
 
+def test_usage_goes_along_with_sends():
+    """Beacons tell it seconds later, by which time each router gave a share anew."""
+
+    def check(network: _Network) -> None:
+        _tell(network, times=3)
+        for host, heard in network.heard.items():
+            assert heard["usage o"] == (host != "10.0.0.1")
+
+    _run(3, 4, check)
+
+
 def test_bytes_between_zones_do_not_grow_with_the_routers_of_a_zone():
     sizes = []
 
