What lost and restarted routers admitted counts until the window has passed

Usage is kept by incarnation now; that of one that is lost leaves linearly over the window, and one that is heard again counts as before.

Tests: what a lost and a restarted peer admitted.

--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -90,6 +90,27 @@
     usage_age_s: float
 
 
+class _PeerUsage:
+    """Usage that one incarnation of a peer told.
+
+    Attributes:
+        usage: By organisation, within the window up to then.
+        told_at: Event-loop time at which it was told, seconds.
+        is_lost: Whether the peer is no longer heard.
+    """
+
+    def __init__(self) -> None:
+        self.usage: dict[OrganisationId, Usage] = {}
+        self.told_at = 0.0
+        self.is_lost = False
+
+    def weight(self, now: float, window_s: float) -> float:
+        """Return the part of the usage that is still within the window."""
+        if not self.is_lost:
+            return 1.0
+        return max(0.0, 1.0 - (now - self.told_at) / window_s)
+
+
 def max_min_level(demands: Mapping[object, float], capacity: float) -> float:
     """Return the amount to which every demand can be met, without end if all can.
 
@@ -146,8 +167,7 @@
         self._clock = clock
         self._events: deque[tuple[float, OrganisationId, float, float]] = deque()
         self._own: dict[OrganisationId, Usage] = {}
-        self._peers: dict[str, dict[OrganisationId, Usage]] = {}
-        self._told_at: dict[str, float] = {}
+        self._peers: dict[tuple[str, int], _PeerUsage] = {}
         self._changed: set[OrganisationId] = set()
         self._summary = _Summary({})
         self._summed_at = -SUMMARY_AGE_S
@@ -163,19 +183,36 @@
         self._changed.add(organisation)
         self._forget(now - self._window_s)
 
-    def note_peer(self, peer: str, usage: dict[OrganisationId, Usage]) -> None:
-        """Replace the usage of a peer; an empty one forgets it."""
-        if usage:
-            self._peers[peer] = usage
-            self._told_at[peer] = self._clock()
-        else:
-            self._peers.pop(peer, None)
-            self._told_at.pop(peer, None)
+    def note_peer(
+        self, peer: str, incarnation: int, usage: dict[OrganisationId, Usage]
+    ) -> None:
+        """Replace the usage of a peer; that of its past leaves with the window."""
+        if (peer, incarnation) not in self._peers:
+            self.lose_peer(peer)
+        self._take_told(peer, incarnation).usage = usage
 
-    def update_peer(self, peer: str, usage: dict[OrganisationId, Usage]) -> None:
+    def update_peer(
+        self, peer: str, incarnation: int, usage: dict[OrganisationId, Usage]
+    ) -> None:
         """Take in the usage of some organisations at a peer."""
         if usage:
-            self.note_peer(peer, {**self._peers.get(peer, {}), **usage})
+            told = self._take_told(peer, incarnation)
+            told.usage = {**told.usage, **usage}
+
+    def lose_peer(self, peer: str) -> None:
+        """Note that a peer is no longer heard.
+
+        Upstreams served what it admitted, so it counts until the window has passed.
+        """
+        for (name, _), told in self._peers.items():
+            if name == peer:
+                told.is_lost = True
+
+    def _take_told(self, peer: str, incarnation: int) -> _PeerUsage:
+        told = self._peers.setdefault((peer, incarnation), _PeerUsage())
+        told.told_at = self._clock()
+        told.is_lost = False
+        return told
 
     def take_changed(self) -> dict[OrganisationId, Usage]:
         """Return the usage at this router of those with requests since the last call.
@@ -208,13 +245,14 @@
             summary.admitted,
             summary.level,
             len(summary.totals),
-            len(self._peers),
+            sum(not told.is_lost for told in self._peers.values()),
             self._usage_age_s(),
         )
 
     def _usage_age_s(self) -> float:
         now = self._clock()
-        return max((now - at for at in self._told_at.values()), default=0.0)
+        heard = (told for told in self._peers.values() if not told.is_lost)
+        return max((now - told.told_at for told in heard), default=0.0)
 
     def _summarise(self) -> _Summary:
         now = self._clock()
@@ -224,12 +262,19 @@
         return self._summary
 
     def _totals(self) -> dict[OrganisationId, Usage]:
+        now = self._clock()
+        sources = [(1.0, self.own())]
+        for key, told in list(self._peers.items()):
+            weight = told.weight(now, self._window_s)
+            if weight == 0.0:
+                del self._peers[key]
+            sources.append((weight, told.usage))
         totals: dict[OrganisationId, Usage] = {}
-        for source in (self.own(), *self._peers.values()):
+        for weight, source in sources:
             for name, usage in source.items():
                 total = totals.setdefault(name, Usage())
-                total.asked += usage.asked
-                total.admitted += usage.admitted
+                total.asked += weight * usage.asked
+                total.admitted += weight * usage.admitted
         return totals
 
     def _forget(self, before: float) -> None:
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -340,7 +340,7 @@
                 self._take_work(upstream, beacon.id, report)
             else:
                 upstream.work.note_peer(beacon.id, NO_WORK)
-        self._shares.note_peer(beacon.id, _usage(beacon.usage))
+        self._shares.note_peer(beacon.id, beacon.incarnation, _usage(beacon.usage))
         for notice in beacon.suspects:
             if self._poison.take(notice):
                 self.log.warning(
@@ -353,7 +353,7 @@
         upstream.backlog.note_peer_total(peer, report.sent_tokens, self._clock())
 
     def _on_sends(self, peer: str, sends: Sends) -> None:
-        self._shares.update_peer(peer, _usage(sends.usage))
+        self._shares.update_peer(peer, sends.incarnation, _usage(sends.usage))
         for report in sends.reports:
             upstream = self._registry.get(UpstreamId(report.work.upstream))
             if upstream is None:
@@ -373,7 +373,7 @@
             upstream = self._registry.get(UpstreamId(report.upstream))
             if upstream is not None:
                 upstream.work.note_peer(beacon.id, NO_WORK)
-        self._shares.note_peer(beacon.id, {})
+        self._shares.lose_peer(beacon.id)
 
 
 def _usage_reports(usage: Mapping[OrganisationId, Usage]) -> list[UsageReport]:
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -255,4 +255,4 @@
         }
         for number, router in enumerate(self._routers):
             if number != sender:
-                router.shares.note_peer(f"r{sender}", usage)
+                router.shares.note_peer(f"r{sender}", 1, usage)
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicorylead.admission.fair_share import FairShare, max_min_level
+from chicorylead.admission.fair_share import FairShare, Usage, max_min_level
 from chicorylead.admission.retry_budget import RetryBudget
 from chicorylead.ids import OrganisationId
 from chicorylead.logs import EventLog
@@ -119,15 +119,43 @@
     assert shares.account(big).standing == 0.0
 
 
+@pytest.mark.parametrize("is_back", [False, True])
+def test_what_a_lost_or_restarted_peer_admitted_leaves_with_the_window(is_back):
+    """Else all routers would give its organisations their shares anew."""
+    now = [0.0]
+    shares = FairShare(4.0, lambda: now[0])
+    one = OrganisationId("one")
+    shares.note_peer("p", 1, {one: Usage(100.0, 80.0)})
+    if is_back:
+        shares.note_peer("p", 2, {one: Usage(10.0, 8.0)})
+        assert shares.account(one).admitted == 88.0
+        now[0] = 9.0
+        assert shares.account(one).admitted == 8.0
+        return
+    shares.lose_peer("p")
+    for at, admitted in ((0.5, 70.0), (2.0, 40.0), (5.0, 0.0)):
+        now[0] = at
+        assert shares.account(one).admitted == pytest.approx(admitted)
+
+
+def test_a_peer_that_is_heard_again_counts_as_before():
+    shares = FairShare(4.0, lambda: 0.0)
+    one = OrganisationId("one")
+    shares.note_peer("p", 1, {one: Usage(100.0, 80.0)})
+    shares.lose_peer("p")
+    shares.note_peer("p", 1, {one: Usage(50.0, 40.0)})
+    assert shares.account(one).admitted == 40.0
+
+
 def test_what_peers_tell_of_some_organisations_leaves_the_others():
     here, there = FairShare(4.0, lambda: 0.0), FairShare(4.0, lambda: 0.0)
     one, other = OrganisationId("one"), OrganisationId("other")
     for name in (one, other):
         there.note(name, asked=10.0, admitted=4.0)
-    here.update_peer("there", there.take_changed())
+    here.update_peer("there", 1, there.take_changed())
     there.note(one, asked=10.0, admitted=4.0)
     assert there.take_changed().keys() == {one}
-    here.update_peer("there", there.own())
+    here.update_peer("there", 1, there.own())
     assert (here.account(one).admitted, here.account(other).admitted) == (8.0, 4.0)
     assert there.take_changed() == {}
 
