An engine's backlog is at most what routers say is unread

Routers tell the tokens of prompts whose first event they wait for; the backlog is at most their sum, and a router that starts knows it from the first report.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -340,6 +340,7 @@
                 self._take_work(upstream, beacon.id, report)
             else:
                 upstream.work.note_peer(beacon.id, NO_WORK)
+                upstream.backlog.forget_peer(beacon.id)
         self._shares.note_peer(beacon.id, beacon.incarnation, _usage(beacon.usage))
         for notice in beacon.suspects:
             if self._poison.take(notice):
@@ -350,7 +351,9 @@
     def _take_work(self, upstream: LiveUpstream, peer: str, report: WorkReport) -> None:
         work = Work(float(report.held_tokens), report.n_requests)
         upstream.work.note_peer(peer, work)
-        upstream.backlog.note_peer_total(peer, report.sent_tokens, self._clock())
+        upstream.backlog.note_peer(
+            peer, report.sent_tokens, report.unread_tokens, self._clock()
+        )
 
     def _on_sends(self, peer: str, sends: Sends) -> None:
         self._shares.update_peer(peer, sends.incarnation, _usage(sends.usage))
@@ -373,6 +376,7 @@
             upstream = self._registry.get(UpstreamId(report.upstream))
             if upstream is not None:
                 upstream.work.note_peer(beacon.id, NO_WORK)
+                upstream.backlog.forget_peer(beacon.id)
         self._shares.lose_peer(beacon.id)
 
 
@@ -394,6 +398,7 @@
     return WorkReport(
         upstream.id,
         round(upstream.backlog.own_total),
+        round(upstream.backlog.own_unread),
         round(upstream.work.own.held_tokens),
         upstream.work.own.n_requests,
     )
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -25,12 +25,14 @@
 
     Attributes:
         sent_tokens: Prompt tokens that it ever sent there.
+        unread_tokens: Those of prompts whose first event it still waits for.
         held_tokens: Tokens that its requests hold in memory there.
         n_requests: Its requests in flight there.
     """
 
     upstream: str
     sent_tokens: int
+    unread_tokens: int
     held_tokens: int
     n_requests: int
 
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -234,14 +234,15 @@
     def _tell_work(self, sender: int, index: int, prompt: Prompt | None) -> None:
         """Tell peers of the work at an engine, and of a prompt that was sent there."""
         own = self._routers[sender].upstreams[index]
-        work, total = own.work.own, own.backlog.own_total
+        work, sent = own.work.own, own.backlog.own_total
+        unread = own.backlog.own_unread
 
         def take() -> None:
             for number, router in enumerate(self._routers):
                 if number != sender:
                     there = router.upstreams[index]
                     there.work.note_peer(f"r{sender}", work)
-                    there.backlog.note_peer_total(f"r{sender}", total, self.now)
+                    there.backlog.note_peer(f"r{sender}", sent, unread, self.now)
                     if prompt is not None:
                         there.prefixes.note_parts(prompt.parts[:-1])
 
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -24,8 +24,8 @@
 
 def test_a_backlog_shrinks_as_the_engine_reads():
     backlog = ReadingBacklog()
-    backlog.note_peer_total("p", 0.0, 0.0)
-    backlog.note_peer_total("p", 8000.0, 0.0)
+    backlog.note_peer("p", 0.0, 0.0, 0.0)
+    backlog.note_peer("p", 8000.0, 8000.0, 0.0)
     assert backlog.tokens(0.0) == 8000.0
     assert backlog.tokens(0.1) == pytest.approx(8000.0 - 0.1 * TOKENS_PER_S)
     assert backlog.tokens(9.0) == 0.0
@@ -49,15 +49,25 @@
 def test_repeated_late_and_restarted_peer_totals_do_no_harm():
     backlog = ReadingBacklog()
     for total in (5_000.0, 5_000.0):
-        backlog.note_peer_total("p", total, 0.0)
+        backlog.note_peer("p", total, 0.0, 0.0)
     assert backlog.tokens(0.0) == 0.0
-    backlog.note_peer_total("p", 6_000.0, 0.0)
-    backlog.note_peer_total("p", 6_000.0, 0.0)
+    backlog.note_peer("p", 6_000.0, 1_000.0, 0.0)
+    backlog.note_peer("p", 6_000.0, 1_000.0, 0.0)
     assert backlog.tokens(0.0) == 1_000.0
-    backlog.note_peer_total("p", 500.0, 0.0)
+    backlog.note_peer("p", 500.0, 1_500.0, 0.0)
     assert backlog.tokens(0.0) == 1_500.0
 
 
+def test_a_backlog_is_never_more_than_routers_wait_for():
+    backlog = ReadingBacklog()
+    backlog.note_peer("p", 9_000.0, 6_000.0, 0.0)
+    assert backlog.tokens(0.0) == 6_000.0
+    backlog.note_peer("p", 9_000.0, 2_000.0, 0.001)
+    assert backlog.tokens(0.002) == 2_000.0
+    backlog.forget_peer("p")
+    assert backlog.tokens(0.003) == 0.0
+
+
 def test_the_rate_follows_a_slow_engine():
     backlog = ReadingBacklog()
     markers = [backlog.add(2_000.0, 0.0) for _ in range(40)]
