Share each plain service as engines are shared

Organisations' standing was 0 for requests without a prompt, so that a flood of a plain service crowded the others out by the number of attempts: the class of the incident. Shares are kept by pool: tokens of all engines, and requests of each plain service.

Test: pools are shared apart.

--- a/src/chicorylead/admission/cost.py
+++ b/src/chicorylead/admission/cost.py
@@ -1,14 +1,38 @@
 """Work that a request puts on an upstream, before it has run."""
 
+from dataclasses import dataclass
+
+from chicorylead.ids import PoolName, ServiceName
 from chicorylead.traffic.request import Prompt
 from chicorylead.upstream.work import Work
 
-__all__ = ["GENERATED_WEIGHT", "expected_output_tokens", "expected_work", "service_of"]
+__all__ = [
+    "ENGINES",
+    "GENERATED_WEIGHT",
+    "PoolShare",
+    "expected_output_tokens",
+    "expected_work",
+    "share_of",
+]
 
+ENGINES = PoolName("engines")
 GENERATED_WEIGHT = 2.0  # a generated token takes the throughput of two that are read
 OUTPUT_SHARE = 0.5  # of the caller's upper limit, where it gives no estimate
 
 
+@dataclass(frozen=True, slots=True)
+class PoolShare:
+    """What a request takes of a pool.
+
+    Attributes:
+        pool: All engines, or the upstreams of one plain service.
+        amount: Tokens of the engines' throughput; 1 for a plain request.
+    """
+
+    pool: PoolName
+    amount: float
+
+
 def expected_output_tokens(prompt: Prompt) -> float:
     """Return the expected length of the answer, tokens."""
     if prompt.expected_output_tokens is not None:
@@ -30,8 +54,9 @@
     )
 
 
-def service_of(prompt: Prompt | None) -> float:
-    """Return what a request takes of the fleet's token throughput, tokens."""
+def share_of(service: ServiceName, prompt: Prompt | None) -> PoolShare:
+    """Return what a request takes of the upstreams that organisations share."""
     if prompt is None:
-        return 0.0
-    return prompt.n_tokens + GENERATED_WEIGHT * expected_output_tokens(prompt)
+        return PoolShare(PoolName(service), 1.0)
+    tokens = prompt.n_tokens + GENERATED_WEIGHT * expected_output_tokens(prompt)
+    return PoolShare(ENGINES, tokens)
--- a/src/chicorylead/admission/fair_share.py
+++ b/src/chicorylead/admission/fair_share.py
@@ -1,7 +1,8 @@
 """What each organisation asked for and got, against its max-min share.
 
 Load pattern: one organisation sends many times its usual amount. What it asks
-beyond its share is turned away first, so that the others notice nothing.
+beyond its share is turned away first, so that the others notice nothing. Engines are
+one pool, whose tokens are shared; the upstreams of each plain service are another.
 
 Shares are parts of what all organisations were admitted. That is what there is to share
 whatever engines keep of prompts, however many of them are lost, and on each side of a
@@ -12,13 +13,15 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
-from chicorylead.ids import OrganisationId
+from chicorylead.ids import OrganisationId, PoolName
 
 __all__ = [
     "NOTHING_ASKED",
     "Account",
     "FairShare",
+    "ShareKey",
     "ShareLevel",
     "Usage",
     "max_min_level",
@@ -29,14 +32,23 @@
 SUMMARY_AGE_S = 0.02  # a two-hundredth of the usual window
 
 
+class ShareKey(NamedTuple):
+    """An organisation at one pool of upstreams."""
+
+    pool: PoolName
+    organisation: OrganisationId
+
+
 @dataclass(slots=True)
 class Usage:
-    """Tokens of one organisation within the window.
+    """What one organisation asked of a pool within the window.
+
+    Amounts are tokens at engines, and requests at plain services.
 
     Attributes:
-        asked: Tokens of all its requests.
-        admitted: Tokens of the requests that were sent on.
-        n_events: Requests that make up these tokens.
+        asked: Amount of all its requests.
+        admitted: Amount of the requests that were sent on.
+        n_events: Requests that make up these amounts.
     """
 
     asked: float = 0.0
@@ -49,9 +61,9 @@
     """What an organisation asked for and got within the window, at all routers.
 
     Attributes:
-        asked: Tokens of all its requests.
-        admitted: Tokens of the requests that were sent on.
-        level: Tokens up to which every organisation's demand can be met.
+        asked: Amount of all its requests.
+        admitted: Amount of the requests that were sent on.
+        level: Amount up to which every organisation's demand can be met.
         usage_age_s: Age of the oldest usage of a peer in these figures, seconds.
     """
 
@@ -71,17 +83,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareLevel:
-    """What all organisations asked for and got, and the level that follows.
+    """What all organisations asked of a pool and got, and the level that follows.
 
     Attributes:
-        asked: Tokens of all requests.
-        admitted: Tokens of the requests that were sent on.
-        level: Tokens up to which every organisation's demand can be met.
+        pool: The pool.
+        asked: Amount of all requests.
+        admitted: Amount of the requests that were sent on.
+        level: Amount up to which every organisation's demand can be met.
         n_organisations: Organisations with requests in the window.
         n_peers: Peers whose usage is counted.
         usage_age_s: Age of the oldest usage of a peer, seconds.
     """
 
+    pool: PoolName
     asked: float
     admitted: float
     level: float
@@ -94,13 +108,13 @@
     """Usage that one incarnation of a peer told.
 
     Attributes:
-        usage: By organisation, within the window up to then.
+        usage: By organisation and pool, within the window up to then.
         told_at: Event-loop time at which it was told, seconds.
         is_lost: Whether the peer is no longer heard.
     """
 
     def __init__(self) -> None:
-        self.usage: dict[OrganisationId, Usage] = {}
+        self.usage: dict[ShareKey, Usage] = {}
         self.told_at = 0.0
         self.is_lost = False
 
@@ -128,13 +142,13 @@
     return float("inf")
 
 
-class _Summary:
-    """What all organisations asked for and got, and the share that follows.
+class _PoolSummary:
+    """What all organisations asked of a pool and got, and the share that follows.
 
     Attributes:
         totals: Usage of each one at all routers.
-        asked: What all asked for, tokens.
-        admitted: What all got, tokens.
+        asked: What all asked for.
+        admitted: What all got.
         level: Amount to which demands can be met.
     """
 
@@ -165,26 +179,26 @@
     ) -> None:
         self._window_s = window_s
         self._clock = clock
-        self._events: deque[tuple[float, OrganisationId, float, float]] = deque()
-        self._own: dict[OrganisationId, Usage] = {}
+        self._events: deque[tuple[float, ShareKey, float, float]] = deque()
+        self._own: dict[ShareKey, Usage] = {}
         self._peers: dict[tuple[str, int], _PeerUsage] = {}
-        self._changed: set[OrganisationId] = set()
-        self._summary = _Summary({})
+        self._changed: set[ShareKey] = set()
+        self._pools: dict[PoolName, _PoolSummary] = {}
         self._summed_at = -SUMMARY_AGE_S
 
-    def note(self, organisation: OrganisationId, asked: float, admitted: float) -> None:
-        """Note tokens that were asked for or admitted at this router."""
+    def note(self, key: ShareKey, asked: float, admitted: float) -> None:
+        """Note an amount that was asked for or admitted at this router."""
         now = self._clock()
-        self._events.append((now, organisation, asked, admitted))
-        usage = self._own.setdefault(organisation, Usage())
+        self._events.append((now, key, asked, admitted))
+        usage = self._own.setdefault(key, Usage())
         usage.asked += asked
         usage.admitted += admitted
         usage.n_events += 1
-        self._changed.add(organisation)
+        self._changed.add(key)
         self._forget(now - self._window_s)
 
     def note_peer(
-        self, peer: str, incarnation: int, usage: dict[OrganisationId, Usage]
+        self, peer: str, incarnation: int, usage: dict[ShareKey, Usage]
     ) -> None:
         """Replace the usage of a peer; that of its past leaves with the window."""
         if (peer, incarnation) not in self._peers:
@@ -192,7 +206,7 @@
         self._take_told(peer, incarnation).usage = usage
 
     def update_peer(
-        self, peer: str, incarnation: int, usage: dict[OrganisationId, Usage]
+        self, peer: str, incarnation: int, usage: dict[ShareKey, Usage]
     ) -> None:
         """Take in the usage of some organisations at a peer."""
         if usage:
@@ -214,7 +228,7 @@
         told.is_lost = False
         return told
 
-    def take_changed(self) -> dict[OrganisationId, Usage]:
+    def take_changed(self) -> dict[ShareKey, Usage]:
         """Return the usage at this router of those with requests since the last call.
 
         It is given out once.
@@ -224,65 +238,74 @@
         self._changed.clear()
         return changed
 
-    def own(self) -> dict[OrganisationId, Usage]:
+    def own(self) -> dict[ShareKey, Usage]:
         """Return the usage at this router."""
         self._forget(self._clock() - self._window_s)
         return self._own
 
-    def account(self, organisation: OrganisationId) -> Account:
-        """Return what an organisation asked for and got, against its share."""
-        summary = self._summarise()
-        usage = summary.totals.get(organisation)
+    def account(self, key: ShareKey) -> Account:
+        """Return what an organisation asked of a pool and got, against its share."""
+        summary = self._summarise().get(key.pool)
+        usage = summary.totals.get(key.organisation) if summary is not None else None
         if usage is None:
             return NOTHING_ASKED
         return Account(usage.asked, usage.admitted, summary.level, self._usage_age_s())
 
-    def level(self) -> ShareLevel:
-        """Return what all organisations asked for and got."""
-        summary = self._summarise()
-        return ShareLevel(
-            summary.asked,
-            summary.admitted,
-            summary.level,
-            len(summary.totals),
-            sum(not told.is_lost for told in self._peers.values()),
-            self._usage_age_s(),
-        )
+    def levels(self) -> list[ShareLevel]:
+        """Return what all organisations asked of each pool and got."""
+        n_peers = sum(not told.is_lost for told in self._peers.values())
+        return [
+            ShareLevel(
+                pool,
+                summary.asked,
+                summary.admitted,
+                summary.level,
+                len(summary.totals),
+                n_peers,
+                self._usage_age_s(),
+            )
+            for pool, summary in self._summarise().items()
+        ]
 
     def _usage_age_s(self) -> float:
         now = self._clock()
         heard = (told for told in self._peers.values() if not told.is_lost)
         return max((now - told.told_at for told in heard), default=0.0)
 
-    def _summarise(self) -> _Summary:
+    def _summarise(self) -> dict[PoolName, _PoolSummary]:
         now = self._clock()
         if now - self._summed_at >= SUMMARY_AGE_S:
-            self._summary = _Summary(self._totals())
+            by_pool: dict[PoolName, dict[OrganisationId, Usage]] = {}
+            for key, usage in self._totals().items():
+                by_pool.setdefault(key.pool, {})[key.organisation] = usage
+            self._pools = {
+                pool: _PoolSummary(totals) for pool, totals in by_pool.items()
+            }
             self._summed_at = now
-        return self._summary
+        return self._pools
 
-    def _totals(self) -> dict[OrganisationId, Usage]:
+    def _totals(self) -> dict[ShareKey, Usage]:
         now = self._clock()
         sources = [(1.0, self.own())]
-        for key, told in list(self._peers.items()):
+        for peer, told in list(self._peers.items()):
             weight = told.weight(now, self._window_s)
             if weight == 0.0:
-                del self._peers[key]
+                del self._peers[peer]
             sources.append((weight, told.usage))
-        totals: dict[OrganisationId, Usage] = {}
+        totals: dict[ShareKey, Usage] = {}
         for weight, source in sources:
-            for name, usage in source.items():
-                total = totals.setdefault(name, Usage())
+            for key, usage in source.items():
+                total = totals.setdefault(key, Usage())
                 total.asked += weight * usage.asked
                 total.admitted += weight * usage.admitted
         return totals
 
     def _forget(self, before: float) -> None:
         while self._events and self._events[0][0] < before:
-            _, organisation, asked, admitted = self._events.popleft()
-            usage = self._own[organisation]
+            _, key, asked, admitted = self._events.popleft()
+            usage = self._own[key]
             usage.asked -= asked
             usage.admitted -= admitted
             usage.n_events -= 1
             if usage.n_events == 0:
-                del self._own[organisation]
+                del self._own[key]
--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from chicorylead.admission.cost import service_of
-from chicorylead.admission.fair_share import NOTHING_ASKED, Account, FairShare
+from chicorylead.admission.cost import share_of
+from chicorylead.admission.fair_share import NOTHING_ASKED, Account, FairShare, ShareKey
 from chicorylead.admission.gate import Admit, Demand, Refuse, decide
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.speed import ServiceSpeed
@@ -114,19 +114,20 @@
         return opened or listed
 
     def _account(self, req: ForwardRequest) -> Account:
-        if req.organisation is None or req.head.prompt is None:
+        if req.organisation is None:
             return NOTHING_ASKED
-        return self._shares.account(req.organisation)
+        pool = share_of(req.service, req.head.prompt).pool
+        return self._shares.account(ShareKey(pool, req.organisation))
 
     def _note_usage(self, req: ForwardRequest, is_admitted: bool) -> None:
         """Note what an organisation asks for; a caller that is back asked before."""
         if req.organisation is None:
             return
-        tokens = service_of(req.head.prompt)
+        share = share_of(req.service, req.head.prompt)
         self._shares.note(
-            req.organisation,
-            asked=tokens if req.waited_s == 0.0 else 0.0,
-            admitted=tokens if is_admitted else 0.0,
+            ShareKey(share.pool, req.organisation),
+            asked=share.amount if req.waited_s == 0.0 else 0.0,
+            admitted=share.amount if is_admitted else 0.0,
         )
 
     def _log_refused(
@@ -147,7 +148,7 @@
             has_room=placement.has_room,
             n_running=placement.upstream.work.n_requests,
             n_slots=placement.upstream.entry.n_slots,
-            tokens=service_of(req.head.prompt),
+            amount=share_of(req.service, req.head.prompt).amount,
             standing=account.standing,
             got=account.admitted,
             asked=account.asked,
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -10,7 +10,7 @@
 from starlette.routing import Route
 from starlette.routing import Router as PathRouter
 
-from chicorylead.admission.fair_share import FairShare, Usage
+from chicorylead.admission.fair_share import FairShare, ShareKey, Usage
 from chicorylead.application import Application
 from chicorylead.errors import Refusal
 from chicorylead.gateway.admission import Admission
@@ -21,7 +21,7 @@
 from chicorylead.gateway.peer_records import PeerRecords
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.http_server import HttpServer
-from chicorylead.ids import OrganisationId, PartId, ServiceName, UpstreamId
+from chicorylead.ids import OrganisationId, PartId, PoolName, ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
@@ -249,18 +249,17 @@
         """Tell what this router believes of all organisations' shares."""
         while True:
             await asyncio.sleep(SHARES_LOG_S)
-            level = self._shares.level()
-            if level.n_organisations == 0:
-                continue
-            self.log.info(
-                "share_level",
-                level=level.level,
-                asked=level.asked,
-                admitted=level.admitted,
-                n_organisations=level.n_organisations,
-                n_peers=level.n_peers,
-                usage_age_s=level.usage_age_s,
-            )
+            for level in self._shares.levels():
+                self.log.info(
+                    "share_level",
+                    pool=level.pool,
+                    level=level.level,
+                    asked=level.asked,
+                    admitted=level.admitted,
+                    n_organisations=level.n_organisations,
+                    n_peers=level.n_peers,
+                    usage_age_s=level.usage_age_s,
+                )
 
     # -- configuration
 
@@ -380,16 +379,18 @@
         self._shares.lose_peer(beacon.id)
 
 
-def _usage_reports(usage: Mapping[OrganisationId, Usage]) -> list[UsageReport]:
+def _usage_reports(usage: Mapping[ShareKey, Usage]) -> list[UsageReport]:
     return [
-        UsageReport(name, round(used.asked), round(used.admitted))
-        for name, used in usage.items()
+        UsageReport(key.pool, key.organisation, round(used.asked), round(used.admitted))
+        for key, used in usage.items()
     ]
 
 
-def _usage(reports: Sequence[UsageReport]) -> dict[OrganisationId, Usage]:
+def _usage(reports: Sequence[UsageReport]) -> dict[ShareKey, Usage]:
     return {
-        OrganisationId(report.organisation): Usage(report.asked, report.admitted)
+        ShareKey(PoolName(report.pool), OrganisationId(report.organisation)): Usage(
+            report.asked, report.admitted
+        )
         for report in reports
     }
 
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from chicorylead.admission.cost import service_of
+from chicorylead.admission.cost import share_of
 from chicorylead.admission.placement import Placement
 from chicorylead.admission.retry_budget import RetryBudget
 from chicorylead.errors import ErrorKind, Refusal
@@ -105,17 +105,22 @@
         try:
             admitted = self._admission.admit(req)
         except Refusal:
-            self._count_tokens(req, "refused")
+            self._count_share(req, "refused")
             raise
-        self._count_tokens(req, "admitted")
+        self._count_share(req, "admitted")
         events = EventSplitter(req.head.last_event_id)
         progress = _Progress(events, fingerprint, admitted.account.standing)
         return Accepted(req, admitted, progress)
 
-    def _count_tokens(self, req: ForwardRequest, outcome: str) -> None:
-        tokens = round(service_of(req.head.prompt))
-        name = req.organisation or "none"
-        self._metrics.count("tokens", tokens, organisation=name, outcome=outcome)
+    def _count_share(self, req: ForwardRequest, outcome: str) -> None:
+        share = share_of(req.service, req.head.prompt)
+        self._metrics.count(
+            "shares",
+            round(share.amount),
+            pool=share.pool,
+            organisation=req.organisation or "none",
+            outcome=outcome,
+        )
 
     async def forward(self, accepted: Accepted, reply: CallerReply) -> None:
         """Answer a request.
@@ -347,7 +352,7 @@
             organisation=req.organisation,
             upstream=placement.upstream.id,
             send=progress.n_sends,
-            tokens=service_of(req.head.prompt),
+            amount=share_of(req.service, req.head.prompt).amount,
             standing=progress.standing,
             waited_s=req.waited_s,
             queue_s=placement.queue_s,
--- a/src/chicorylead/ids.py
+++ b/src/chicorylead/ids.py
@@ -9,6 +9,7 @@
     "Offset",
     "OrganisationId",
     "PartId",
+    "PoolName",
     "RequestId",
     "RouterId",
     "ServiceName",
@@ -22,6 +23,7 @@
 Offset = NewType("Offset", int)
 OrganisationId = NewType("OrganisationId", str)
 PartId = NewType("PartId", bytes)
+PoolName = NewType("PoolName", str)
 RequestId = NewType("RequestId", str)
 RouterId = NewType("RouterId", str)
 ServiceName = NewType("ServiceName", str)
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -38,8 +38,9 @@
 
 
 class UsageReport(Struct, frozen=True, array_like=True):
-    """Tokens that an organisation asked for and got at the sender in the window."""
+    """What an organisation asked of a pool and got at the sender in the window."""
 
+    pool: str
     organisation: str
     asked: int
     admitted: int
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from chicorylead.admission.fair_share import FairShare, Usage
+from chicorylead.admission.cost import ENGINES
+from chicorylead.admission.fair_share import FairShare, ShareKey, Usage
 from chicorylead.admission.gate import Admit, Demand, decide
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.speed import ServiceSpeed
@@ -182,7 +183,7 @@
         second = self.seconds[int(self.now)][arrival.organisation]
         second.asked += arrival.prompt.n_tokens
         router = self._routers[number]
-        name = OrganisationId(arrival.organisation)
+        name = ShareKey(ENGINES, OrganisationId(arrival.organisation))
         tokens = float(arrival.prompt.n_tokens)
         placement = place(router.upstreams, arrival.prompt, router.speed, self.now)
         demand = Demand(
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -8,9 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicorylead.admission.fair_share import FairShare, Usage, max_min_level
+from chicorylead.admission.cost import ENGINES
+from chicorylead.admission.fair_share import FairShare, ShareKey, Usage, max_min_level
 from chicorylead.admission.retry_budget import RetryBudget
-from chicorylead.ids import OrganisationId
+from chicorylead.ids import OrganisationId, PoolName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.peer.beacon import FORGET_S, BeaconLink
@@ -118,10 +119,14 @@
     assert used == pytest.approx(min(sum(demands), capacity), rel=1e-6, abs=1e-6)
 
 
+def _key(organisation: str, pool: PoolName = ENGINES) -> ShareKey:
+    return ShareKey(pool, OrganisationId(organisation))
+
+
 def test_usage_of_peers_counts_and_leaves_the_window():
     now = [0.0]
     shares = FairShare(4.0, lambda: now[0])
-    big, small = OrganisationId("big"), OrganisationId("small")
+    big, small = _key("big"), _key("small")
     shares.note(big, asked=1000.0, admitted=300.0)
     shares.note(small, asked=100.0, admitted=10.0)
     assert shares.account(big).standing > 1.0 > shares.account(small).standing
@@ -134,7 +139,7 @@
     """Else all routers would give its organisations their shares anew."""
     now = [0.0]
     shares = FairShare(4.0, lambda: now[0])
-    one = OrganisationId("one")
+    one = _key("one")
     shares.note_peer("p", 1, {one: Usage(100.0, 80.0)})
     if is_back:
         shares.note_peer("p", 2, {one: Usage(10.0, 8.0)})
@@ -150,16 +155,29 @@
 
 def test_a_peer_that_is_heard_again_counts_as_before():
     shares = FairShare(4.0, lambda: 0.0)
-    one = OrganisationId("one")
+    one = _key("one")
     shares.note_peer("p", 1, {one: Usage(100.0, 80.0)})
     shares.lose_peer("p")
     shares.note_peer("p", 1, {one: Usage(50.0, 40.0)})
     assert shares.account(one).admitted == 40.0
 
 
+def test_pools_are_shared_apart():
+    """A flood of a plain service leaves the standing at engines, and the reverse."""
+    shares = FairShare(4.0, lambda: 0.0)
+    archive = PoolName("archive")
+    shares.note(_key("flood", archive), asked=100.0, admitted=30.0)
+    shares.note(_key("calm", archive), asked=10.0, admitted=10.0)
+    shares.note(_key("flood"), asked=500.0, admitted=500.0)
+    assert shares.account(_key("flood", archive)).standing == 1.0
+    assert shares.account(_key("calm", archive)).standing == pytest.approx(1 / 3)
+    assert shares.account(_key("flood")).standing == 0.0
+    assert {level.pool for level in shares.levels()} == {ENGINES, archive}
+
+
 def test_what_peers_tell_of_some_organisations_leaves_the_others():
     here, there = FairShare(4.0, lambda: 0.0), FairShare(4.0, lambda: 0.0)
-    one, other = OrganisationId("one"), OrganisationId("other")
+    one, other = _key("one"), _key("other")
     for name in (one, other):
         there.note(name, asked=10.0, admitted=4.0)
     here.update_peer("there", 1, there.take_changed())
@@ -177,14 +195,14 @@
     shares = FairShare(4.0, lambda: now[0])
     for step_s, name, tokens in events:
         now[0] += step_s
-        shares.note(OrganisationId(name), asked=tokens, admitted=0.0)
+        shares.note(_key(name), asked=tokens, admitted=0.0)
     now[0] += 5.0
     assert shares.own() == {}
 
 
 def test_nobody_is_beyond_a_share_while_all_is_admitted():
     shares = FairShare(4.0, lambda: 0.0)
-    name = OrganisationId("only")
+    name = _key("only")
     for _ in range(5):
         assert shares.account(name).standing == 0.0
         shares.note(name, asked=9000.0, admitted=9000.0)
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -47,7 +47,7 @@
             ("10.0.0.0",),
             lambda sequence, peers: self._beacon(host, sequence, peers),
             lambda: (0, 0),
-            lambda: [UsageReport("o", 20, 10)],
+            lambda: [UsageReport("engines", "o", 20, 10)],
             lambda beacon: heard.update({f"beacon {beacon.id}": 1}),
             lambda peer, sends: heard.update(_told(peer, sends)),
             lambda beacon: None,
