Lines of refused and failed requests are never left out for others

Lines of refusals and of broken sends were of level info, and dropped with those of served requests beyond 1,500 a second: a caller's failure could not be explained at the very load that causes it. They are warnings now, which only a reader 20,000 lines behind loses. From reading the code; the most that a router wrote is 1,156 lines a second.

--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -137,7 +137,7 @@
         account: Account,
         refuse: Refuse,
     ) -> None:
-        self._log.info(
+        self._log.warning(
             "request_refused",
             request=req.id,
             operation=req.operation.name,
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -345,7 +345,9 @@
                 sender.longest_pause_s,
                 operation=req.operation.name,
             )
-        self._log.info(
+        # Lines of failures are kept when those of ordinary operation are too many.
+        write = self._log.info if name == "served" else self._log.warning
+        write(
             "request_sent",
             request=req.id,
             operation=req.operation.name,
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -134,7 +134,7 @@
         self, exc: Refusal, head: CallerHead | None, reply: CallerReply
     ) -> None:
         if exc.kind is not ErrorKind.QUEUE_FULL:
-            self._log.info(
+            self._log.warning(
                 "request_ended",
                 request=head.request_id if head else None,
                 kind=exc.kind,
