report shares names who got far less than its share, from logs

The incident had to be found by the users: no command of ours told from the routers' logs that an organisation was short. The report applies the users' rule to the lines of requests, which name the pool now. The replayed tests use the same rule. What peers are told and tell moves out of the application into gateway.peer_state.

--- a/src/chicorylead/cli/log_commands.py
+++ b/src/chicorylead/cli/log_commands.py
@@ -10,9 +10,10 @@
 from chicorylead.report.load import LoadRow, load_report
 from chicorylead.report.log_lines import LogLine, read_lines
 from chicorylead.report.plot import draw_lines
+from chicorylead.report.shares import share_report
 from chicorylead.report.story import tell
 
-__all__ = ["explain", "report_load"]
+__all__ = ["explain", "report_load", "report_shares"]
 
 EXIT_NOT_FOUND = 1
 MAX_DRAWN = 8  # lines that a person can tell apart
@@ -54,6 +55,31 @@
     return 0
 
 
+async def report_shares(args: argparse.Namespace) -> int:
+    """Print who got far less than its share while others were served."""
+    found = share_report(_read(args.logs))
+    if args.json:
+        print_json(found)
+        return 0
+    heads = ("POOL", "ORGANISATION", "FROM SECOND", "ASKED", "GOT", "OWED", "BEST GOT")
+    print_table(
+        heads,
+        [
+            (
+                r.pool,
+                r.organisation,
+                r.second,
+                round(r.asked),
+                round(r.got),
+                round(r.owed),
+                round(r.best),
+            )
+            for r in found
+        ],
+    )
+    return 0
+
+
 def _print_rows(head: str, rows: list[LoadRow]) -> None:
     heads = (head, "SERVED", "REFUSED", "FAILED", "FIRST S", "99 IN 100", "PAUSE S")
     print_table(
--- a/src/chicorylead/cli/main.py
+++ b/src/chicorylead/cli/main.py
@@ -167,6 +167,11 @@
     load.add_argument("logs", nargs="+", metavar="LOG", help="logs of routers")
     load.add_argument("--plot", metavar="FILE", help="write a picture (PNG)")
     load.add_argument("--json", action="store_true", help="print JSON")
+    shares = _add(
+        actions, "shares", "who got too little, from logs", log_commands.report_shares
+    )
+    shares.add_argument("logs", nargs="+", metavar="LOG", help="logs of routers")
+    shares.add_argument("--json", action="store_true", help="print JSON")
     explain = _add(
         commands, "explain", "what became of a request", log_commands.explain
     )
--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -137,6 +137,7 @@
         account: Account,
         refuse: Refuse,
     ) -> None:
+        share = share_of(req.service, req.head.prompt)
         self._log.warning(
             "request_refused",
             request=req.id,
@@ -148,7 +149,8 @@
             has_room=placement.has_room,
             n_running=placement.upstream.work.n_requests,
             n_slots=placement.upstream.entry.n_slots,
-            amount=share_of(req.service, req.head.prompt).amount,
+            pool=share.pool,
+            amount=share.amount,
             standing=account.standing,
             got=account.admitted,
             asked=account.asked,
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from starlette.requests import Request
@@ -10,7 +10,7 @@
 from starlette.routing import Route
 from starlette.routing import Router as PathRouter
 
-from chicorylead.admission.fair_share import FairShare, ShareKey, Usage
+from chicorylead.admission.fair_share import FairShare
 from chicorylead.application import Application
 from chicorylead.errors import Refusal
 from chicorylead.gateway.admission import Admission
@@ -19,14 +19,15 @@
 from chicorylead.gateway.forward import Forwarder
 from chicorylead.gateway.ingress import Ingress
 from chicorylead.gateway.peer_records import PeerRecords
+from chicorylead.gateway.peer_state import PeerState, work_report
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.http_server import HttpServer
-from chicorylead.ids import OrganisationId, PartId, PoolName, ServiceName, UpstreamId
+from chicorylead.ids import ServiceName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.peer.beacon import BeaconLink
-from chicorylead.peer.datagram import Beacon, Sends, UsageReport, WorkReport
+from chicorylead.peer.datagram import Beacon
 from chicorylead.platform.configuration import decode_configuration
 from chicorylead.platform.registry import decode_upstream
 from chicorylead.platform.store import StoreClient
@@ -36,7 +37,6 @@
 from chicorylead.traffic.stream import Stream, StreamRecord
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.registry import Registry
-from chicorylead.upstream.work import NO_WORK, Work
 
 __all__ = ["Gateway"]
 
@@ -97,6 +97,9 @@
         }
         self._shares = FairShare(cfg.bounds.share_window_s, self._clock)
         self._poison = PoisonList(rng)
+        self._peer_state = PeerState(
+            self._registry, self._shares, self._poison, self.log
+        )
         self._link = BeaconLink(
             cfg.id,
             cfg.zone,
@@ -105,10 +108,10 @@
             cfg.seeds,
             self._make_beacon,
             self._ends,
-            lambda: _usage_reports(self._shares.take_changed()),
-            self._on_beacon,
-            self._on_sends,
-            self._on_silent,
+            self._peer_state.take_changed_usage,
+            self._peer_state.take_beacon,
+            self._peer_state.take_sends,
+            self._peer_state.lose,
             self.log,
             self._metrics,
             rng,
@@ -314,7 +317,6 @@
         return configuration, upstreams
 
     def _make_beacon(self, sequence: int, peers: list[str]) -> Beacon:
-        work = [_work_report(upstream) for upstream in self._registry.all()]
         return Beacon(
             id=self._cfg.id,
             host=self._cfg.peers[0],
@@ -325,81 +327,12 @@
             control="{}:{}".format(*self._cfg.control),
             is_ready=self._directory.is_ready,
             ends=self._ends(),
-            work=work,
-            usage=_usage_reports(self._shares.own()),
+            work=self._peer_state.work(),
+            usage=self._peer_state.usage(),
             peers=peers,
             suspects=self._poison.notices(MAX_SUSPECTS_TOLD),
         )
 
-    def _on_beacon(self, beacon: Beacon) -> None:
-        told = {report.upstream: report for report in beacon.work}
-        for upstream in self._registry.all():
-            report = told.get(upstream.id)
-            if report is not None:
-                self._take_work(upstream, beacon.id, report)
-            else:
-                upstream.work.note_peer(beacon.id, NO_WORK)
-                upstream.backlog.forget_peer(beacon.id)
-        self._shares.note_peer(beacon.id, beacon.incarnation, _usage(beacon.usage))
-        for notice in beacon.suspects:
-            if self._poison.take(notice):
-                self.log.warning(
-                    "suspect_told", peer=beacon.id, fingerprint=notice.fingerprint
-                )
-
-    def _take_work(self, upstream: LiveUpstream, peer: str, report: WorkReport) -> None:
-        work = Work(float(report.held_tokens), report.n_requests)
-        upstream.work.note_peer(peer, work)
-        upstream.backlog.note_peer(
-            peer, report.sent_tokens, report.unread_tokens, self._clock()
-        )
-
-    def _on_sends(self, peer: str, sends: Sends) -> None:
-        self._shares.update_peer(peer, sends.incarnation, _usage(sends.usage))
-        for report in sends.reports:
-            upstream = self._registry.get(UpstreamId(report.work.upstream))
-            if upstream is None:
-                continue
-            self._take_work(upstream, peer, report.work)
-            if upstream.prefixes is not None:
-                parts = [PromptPart(PartId(id_), n) for id_, n in report.parts]
-                upstream.prefixes.note_parts(parts)
-
     def _note_sent(self, upstream: LiveUpstream, parts: Sequence[PromptPart]) -> None:
         told = [(part.id, part.n_tokens) for part in parts]
-        self._link.note_sent(_work_report(upstream), told)
-
-    def _on_silent(self, beacon: Beacon) -> None:
-        """Forget the work of a peer, which ends with its connections."""
-        for report in beacon.work:
-            upstream = self._registry.get(UpstreamId(report.upstream))
-            if upstream is not None:
-                upstream.work.note_peer(beacon.id, NO_WORK)
-                upstream.backlog.forget_peer(beacon.id)
-        self._shares.lose_peer(beacon.id)
-
-
-def _usage_reports(usage: Mapping[ShareKey, Usage]) -> list[UsageReport]:
-    return [
-        UsageReport(key.pool, key.organisation, round(used.asked), round(used.admitted))
-        for key, used in usage.items()
-    ]
-
-
-def _usage(reports: Sequence[UsageReport]) -> dict[ShareKey, Usage]:
-    return {
-        ShareKey(PoolName(report.pool), OrganisationId(report.organisation)): Usage(
-            report.asked, report.admitted
-        )
-        for report in reports
-    }
-
-
-def _work_report(upstream: LiveUpstream) -> WorkReport:
-    return WorkReport(
-        upstream.id,
-        round(upstream.backlog.own_total),
-        round(upstream.backlog.own_unread),
-        round(upstream.work.own.held_tokens),
-        upstream.work.own.n_requests,
-    )
+        self._link.note_sent(work_report(upstream), told)
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -345,6 +345,7 @@
                 sender.longest_pause_s,
                 operation=req.operation.name,
             )
+        share = share_of(req.service, req.head.prompt)
         # Lines of failures are kept when those of ordinary operation are too many.
         write = self._log.info if name == "served" else self._log.warning
         write(
@@ -354,7 +355,8 @@
             organisation=req.organisation,
             upstream=placement.upstream.id,
             send=progress.n_sends,
-            amount=share_of(req.service, req.head.prompt).amount,
+            pool=share.pool,
+            amount=share.amount,
             standing=progress.standing,
             waited_s=req.waited_s,
             queue_s=placement.queue_s,
--- /dev/null
+++ b/src/chicorylead/report/shares.py
@@ -0,0 +1,123 @@
+"""Organisations that got far less than they asked for while others were served."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+from msgspec import Struct
+
+from chicorylead.report.log_lines import LogLine
+
+__all__ = ["Second", "Shortfall", "Usage", "share_report", "shortfalls"]
+
+WINDOW_S = 6  # as long as the users' rule on shares
+LEAST_PART = 0.5  # of what it asked or the best served got, whichever is less
+N_LARGEST = 3  # requests by which an organisation may be short
+
+
+@dataclass
+class Second:
+    """What an organisation asked of a pool and got within one second.
+
+    Attributes:
+        asked: Amount of its requests, tokens or plain requests.
+        got: Amount of the requests that began to be answered.
+        refused: Requests that were refused.
+    """
+
+    asked: float = 0.0
+    got: float = 0.0
+    refused: int = 0
+
+
+class Shortfall(Struct, kw_only=True, frozen=True):
+    """An organisation that got too little from one second on.
+
+    Attributes:
+        pool: What it asked of.
+        organisation: Its id.
+        second: Start of the window.
+        asked: What it asked for.
+        got: What it got.
+        owed: The least that it should have got.
+        best: What the best served organisations got, second by second.
+    """
+
+    pool: str = ""
+    organisation: str
+    second: int
+    asked: float
+    got: float
+    owed: float
+    best: float
+
+
+Usage = Mapping[int, Mapping[str, Second]]
+
+
+def shortfalls(usage: Usage, largest: float, pool: str = "") -> Iterator[Shortfall]:
+    """Yield each organisation and window in which it was refused and got too little.
+
+    Args:
+        usage: What each organisation asked for and got, by second.
+        largest: The largest request.
+        pool: Name of the pool.
+    """
+    names = sorted({name for second in usage.values() for name in second})
+    for start in range(min(usage, default=0), max(usage, default=0) - WINDOW_S + 2):
+        window = [usage.get(start + offset, {}) for offset in range(WINDOW_S)]
+        best = [max((s.got for s in second.values()), default=0) for second in window]
+        for name in names:
+            rows = [second.get(name, Second()) for second in window]
+            if not all(row.refused for row in rows):
+                continue
+            due = sum(
+                min(row.asked, most) for row, most in zip(rows, best, strict=True)
+            )
+            owed = LEAST_PART * due - N_LARGEST * largest
+            got = sum(row.got for row in rows)
+            if got < owed:
+                yield Shortfall(
+                    pool=pool,
+                    organisation=name,
+                    second=start,
+                    asked=sum(row.asked for row in rows),
+                    got=got,
+                    owed=owed,
+                    best=sum(best),
+                )
+
+
+def share_report(lines: Iterable[LogLine]) -> list[Shortfall]:
+    """Return the shortfalls that the logs of all routers tell of.
+
+    Args:
+        lines: Lines of all routers; their clocks are taken for equal.
+    """
+    usage: dict[str, dict[int, dict[str, Second]]] = defaultdict(
+        lambda: defaultdict(lambda: defaultdict(Second))
+    )
+    largest: dict[str, float] = defaultdict(float)
+    for line in lines:
+        if line.event not in ("request_sent", "request_refused"):
+            continue
+        pool = line.fields.get("pool", "")
+        name = line.fields.get("organisation", "None")
+        amount = line.number("amount")
+        largest[pool] = max(largest[pool], amount)
+        if line.event == "request_refused":
+            second = usage[pool][int(line.at)][name]
+            second.refused += 1
+            second.asked += amount
+            continue
+        sent_at = line.at - line.number("took_s")
+        if line.fields.get("send") == "1":
+            usage[pool][int(sent_at)][name].asked += amount
+        if line.fields.get("outcome") == "Served":
+            begun_at = sent_at + line.number("first_event_s")
+            usage[pool][int(begun_at)][name].got += amount
+    return [
+        found
+        for pool in sorted(usage)
+        for found in shortfalls(usage[pool], largest[pool], pool)
+    ]
--- a/src/chicorylead/report/story.py
+++ b/src/chicorylead/report/story.py
@@ -145,8 +145,9 @@
 def _why_refused(line: LogLine) -> str:
     if line.number("standing") >= 1.0:
         return (
-            "the organisation had its share already, and no upstream was idle enough "
-            "for what it asks beyond"
+            f"the organisation had its share already ({line.number('got'):.0f} of "
+            f"{line.number('level'):.0f}), and no upstream was idle enough for what it "
+            "asks beyond"
         )
     if line.fields.get("has_room") == "False":
         return "the best upstream had no place or no memory left"
--- a/tests/gateway/replay.py
+++ b/tests/gateway/replay.py
@@ -17,6 +17,7 @@
 from chicorylead.admission.speed import ServiceSpeed
 from chicorylead.ids import OrganisationId, PartId, ServiceName, UpstreamId, ZoneName
 from chicorylead.platform.upstream_wire import decode_answer
+from chicorylead.report.shares import Second
 from chicorylead.traffic.request import Prompt, PromptPart
 from chicorylead.upstream.backlog import ReadingBacklog, ReadingRate
 from chicorylead.upstream.live import LiveUpstream
@@ -43,15 +44,6 @@
     router: int | None = None  # any, if None
 
 
-@dataclass
-class Second:
-    """What an organisation asked for and got within one second, tokens."""
-
-    asked: float = 0.0
-    got: float = 0.0
-    refused: int = 0
-
-
 @dataclass
 class Tally:
     """What became of an organisation's requests."""
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -7,9 +7,9 @@
 from chicorylead.admission.gate import Admit, Demand, Refuse, decide
 from chicorylead.admission.placement import Placement, place
 from chicorylead.admission.speed import ServiceSpeed
+from chicorylead.report.shares import Shortfall, shortfalls
 from chicorylead.upstream.answer import UpstreamLoad
 from chicorylead.upstream.work import Work
-from tests.gateway.fairness import Shortfall, shortfalls
 from tests.gateway.replay import Arrival, Replay, prompt_of, upstream
 
 ENGINES_TOKENS_PER_S = 4 * 40_000.0
--- a/tests/gateway/test_story.py
+++ b/tests/gateway/test_story.py
@@ -7,17 +7,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicorylead.cli.log_commands import explain, report_load
+from chicorylead.cli.log_commands import explain, report_load, report_shares
 from chicorylead.errors import Refusal
 from chicorylead.report.load import load_report
 from chicorylead.report.log_lines import read_lines
+from chicorylead.report.shares import share_report
 from chicorylead.report.story import tell
 
 # Lines as routers wrote them on played days, one of them with the platform's prefix.
 REFUSED = (
     "  12.10 r1 time=100.000 level=info event=request_refused router=r1 request=aa "
     "operation=op organisation=north upstream=u1 queue_s=0.031 limit_s=0 "
-    "has_room=True n_running=30 n_slots=64 standing=1.53 overload=1.6 waited_s=0 "
+    "has_room=True n_running=30 n_slots=64 amount=1200 standing=1.53 got=153 level=100 waited_s=0 "
     "retry_after_s=0.13"
 )
 SENT = (
@@ -108,3 +109,33 @@
     assert asyncio.run(report_load(args)) == 0
     assert "north" in capsys.readouterr().out
     assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def _seconds_of_a_flood(n_seconds: int, got: int) -> list[str]:
+    """Lines of one that is served and one that is refused in each second."""
+    lines = []
+    for second in range(100, 100 + n_seconds):
+        line = f"time={second}.5 router=r1 pool=engines send=1 took_s=0.2 amount=10"
+        sent = f"{line} event=request_sent outcome=Served first_event_s=0.1"
+        lines += [f"{sent} organisation=flood"] * 20
+        lines += [f"{sent} organisation=lone"] * got
+        lines += [f"{line} event=request_refused organisation=lone"] * 20
+    return lines
+
+
+def test_a_report_names_who_got_too_little(tmp_path, capsys):
+    """Seven seconds have two windows; 1,200 are due in each, and half is owed."""
+    log = tmp_path / "r.log"
+    log.write_text("\n".join(_seconds_of_a_flood(7, got=4)))
+    args = argparse.Namespace(logs=[str(log)], json=False)
+    assert asyncio.run(report_shares(args)) == 0
+    rows = capsys.readouterr().out.splitlines()[1:]
+    assert [row.split() for row in rows] == [
+        ["engines", "lone", second, "1440", "240", "570", "1200"]
+        for second in ("100", "101")
+    ]
+
+
+@pytest.mark.parametrize(("n_seconds", "got"), [(5, 4), (7, 10)])
+def test_a_report_names_nobody_for_short_times_or_half_of_what_is_due(n_seconds, got):
+    assert share_report(read_lines(_seconds_of_a_flood(n_seconds, got))) == []
