--- a/tests/gateway/test_story.py
+++ b/tests/gateway/test_story.py
@@ -18,8 +18,8 @@
 REFUSED = (
     "  12.10 r1 time=100.000 level=info event=request_refused router=r1 request=aa "
     "operation=op organisation=north upstream=u1 queue_s=0.031 limit_s=0 "
-    "has_room=True n_running=30 n_slots=64 amount=1200 standing=1.53 got=153 level=100 waited_s=0 "
-    "retry_after_s=0.13"
+    "has_room=True n_running=30 n_slots=64 amount=1200 standing=1.53 got=153 level=100 "
+    "waited_s=0 retry_after_s=0.13"
 )
 SENT = (
     "time=101.900 level=info event=request_sent router=r2 request=bb operation=op "
@@ -47,7 +47,7 @@
     assert len(story.steps) == 1
     assert "1.53 of its share" in story.steps[0]
     assert "30 of 64" in story.steps[0]
-    assert "had its share already" in story.cause
+    assert "had its share already (153 of 100)" in story.cause
 
 
 def test_an_unknown_outcome_names_the_crash_of_its_own_upstream():
