Load only what a gateway runs; run the tests with three workers

Cause: a gateway's start imported 624 modules, among them the aiohttp client (a quarter of the time), all commands of the command line, the stand-ins and the metrics library. On a VM of a tenth of a core a start takes seconds.

Change: the store's client and the fetching of records from peers use the connection of upstreams (http_client); commands are imported when they run; counters are plain numbers, and the Prometheus library renders them on the first scrape.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+# Integration tests start up to ten processes each and have time limits.
+TEST_WORKERS ?= 3
 
 .PHONY: demo test lint format bench binary capacity
 
@@ -22,7 +24,7 @@
 	$(BIN)/ruff format src tests bench examples
 
 test: lint
-	$(BIN)/python -m pytest tests
+	$(BIN)/python -m pytest tests -n $(TEST_WORKERS) --dist loadfile
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench steady --seconds 10 --json
--- a/src/chicorylead/cli/run_commands.py
+++ b/src/chicorylead/cli/run_commands.py
@@ -1,7 +1,6 @@
-"""Commands that run processes: routers, stand-ins and the demonstration."""
+"""Commands that run a router, stand-ins and the demonstration."""
 
 import argparse
-import logging
 import sys
 import time
 from pathlib import Path
@@ -10,13 +9,11 @@
 import msgspec
 from absl import logging as absl_logging
 
+from chicorylead import __version__
 from chicorylead.application import Application
 from chicorylead.demo import run as run_demonstration
 from chicorylead.errors import ErrorKind, Refusal
-from chicorylead.gateway.app import Gateway
-from chicorylead.log_output import LogOutput
 from chicorylead.logs import EventLog
-from chicorylead.platform.settings_file import read_settings, settings_path
 from chicorylead.router.app import Router
 from chicorylead.settings import load_settings
 from chicorylead.standin.engine import EngineSettings, StandinEngine
@@ -24,7 +21,13 @@
 from chicorylead.standin.platform import StandinPlatform, StandinPlatformSettings
 from chicorylead.standin.service import ServiceSettings, StandinService
 
-__all__ = ["run_demo", "run_gateway", "run_router", "run_standin"]
+__all__ = ["print_version", "run_demo", "run_router", "run_standin"]
+
+
+async def print_version(args: argparse.Namespace) -> int:
+    """Print the version."""
+    sys.stdout.write(f"chicorylead {__version__}\n")
+    return 0
 
 
 async def run_router(args: argparse.Namespace) -> int:
@@ -38,24 +41,6 @@
     return 0
 
 
-async def run_gateway(args: argparse.Namespace) -> int:
-    """Run a router on the users' platform until a signal arrives, then drain it."""
-    path = Path(args.settings) if args.settings else settings_path()
-    absl_logging.set_verbosity(absl_logging.INFO)
-    output = LogOutput()
-    logging.getLogger().handlers = [output]
-    gateway = Gateway(
-        read_settings(path),
-        incarnation=time.time_ns(),
-        read_settings=lambda: read_settings(path),
-    )
-    try:
-        await gateway.run()
-    finally:
-        output.close()
-    return 0
-
-
 async def run_demo(args: argparse.Namespace) -> int:
     """Run the demonstration in one process."""
     absl_logging.set_verbosity(absl_logging.ERROR)
--- a/src/chicorylead/gateway/peer_records.py
+++ b/src/chicorylead/gateway/peer_records.py
@@ -4,16 +4,17 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from chicorylead.gateway.follower import StreamFollower
+from chicorylead.http_client import HttpClient, HttpResponse
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.peer.protocol import Beacon, Peer
 from chicorylead.traffic.stream import Stream, StreamPage
+from chicorylead.upstream.connection import Failure
 
 __all__ = ["PeerRecords"]
 
@@ -44,7 +45,7 @@
         self._metrics = metrics
         self._clock = asyncio.get_running_loop().time
         self._behind_since: dict[Stream, float] = {}
-        self._session = ClientSession(timeout=ClientTimeout(total=FETCH_TIMEOUT_S))
+        self._client = HttpClient()
 
     def routes(self) -> list[Route]:
         """Return the HTTP routes for peers."""
@@ -52,7 +53,7 @@
 
     async def close(self) -> None:
         """Close connections to peers."""
-        await self._session.close()
+        await self._client.close()
 
     async def run(self) -> None:
         """Fetch missing records at intervals until cancelled."""
@@ -81,12 +82,16 @@
     async def _fetch(
         self, stream: Stream, follower: StreamFollower, beacon: Beacon
     ) -> None:
-        url = f"http://{beacon.control}" + _PATH.format(stream=stream.value)
+        host, _, port = beacon.control.rpartition(":")
         try:
-            async with self._session.get(url) as response:
-                response.raise_for_status()
-                page = msgspec.msgpack.decode(await response.read(), type=StreamPage)
-        except (ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            response = await self._client.get(
+                (host, int(port)),
+                _PATH.format(stream=stream.value),
+                {},
+                FETCH_TIMEOUT_S,
+            )
+            page = _decode(response)
+        except (Failure, ValueError) as exc:
             self._metrics.count("peer.fetch_errors")
             self._log.warning(
                 "peer_fetch_failed", peer=beacon.id, stream=stream, reason=repr(exc)
@@ -105,3 +110,14 @@
             msgspec.msgpack.encode(follower.page()),
             media_type="application/msgpack",
         )
+
+
+def _decode(response: HttpResponse) -> StreamPage:
+    """Decode the records of a peer.
+
+    Raises:
+        ValueError: The peer has none, or they are malformed.
+    """
+    if response.status != 200:
+        raise ValueError(f"status {response.status}")
+    return msgspec.msgpack.decode(response.body, type=StreamPage)
--- /dev/null
+++ b/src/chicorylead/http_client.py
@@ -0,0 +1,137 @@
+"""HTTP client for the platform's store and for peers, on upstream connections."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+from chicorylead.upstream.answer import AnswerHead
+from chicorylead.upstream.connection import (
+    Connection,
+    Failure,
+    FailureKind,
+    KeepAlive,
+    open_connection,
+)
+
+__all__ = ["HttpClient", "HttpResponse"]
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 15.0  # shorter than common keep-alive times of servers
+# A dead connection is detected after 2 s: one idle second, one probe.
+KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, n_probes=1, user_timeout_ms=2000)
+_NO_ID = ""  # responses of the store and of peers carry no request id
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A complete response."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Sends GET requests and keeps connections open between them."""
+
+    def __init__(self) -> None:
+        self._idle: dict[tuple[str, int], list[Connection]] = {}
+        self._clock = asyncio.get_running_loop().time
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        for conns in self._idle.values():
+            for conn in conns:
+                conn.close()
+        self._idle.clear()
+
+    async def get(
+        self,
+        address: tuple[str, int],
+        path: str,
+        query: Mapping[str, str],
+        timeout_s: float,
+    ) -> HttpResponse:
+        """Return the response to a GET request.
+
+        A server may drop an idle connection as the request is sent on it; the request
+        is then sent once more on a new connection.
+
+        Raises:
+            Failure: There is no complete response.
+        """
+        deadline = self._clock() + timeout_s
+        request = _encode(address, path, query)
+        conn = self._take_idle(address)
+        if conn is not None:
+            try:
+                return await self._exchange(conn, address, request, deadline)
+            except Failure as exc:
+                if exc.kind is FailureKind.SILENT:
+                    raise
+        conn = await open_connection(
+            *address,
+            min(CONNECT_TIMEOUT_S, deadline - self._clock()),
+            _decode_head,
+            KEEP_ALIVE,
+        )
+        return await self._exchange(conn, address, request, deadline)
+
+    def _take_idle(self, address: tuple[str, int]) -> Connection | None:
+        conns = self._idle.get(address, [])
+        while conns:
+            conn = conns.pop()
+            idle_s = self._clock() - conn.idle_since
+            if conn.is_reusable and idle_s < IDLE_TIMEOUT_S:
+                return conn
+            conn.close()
+        return None
+
+    async def _exchange(
+        self,
+        conn: Connection,
+        address: tuple[str, int],
+        request: bytes,
+        deadline: float,
+    ) -> HttpResponse:
+        is_done = False
+        try:
+            conn.send(_NO_ID, request)
+            head = await conn.read_head(deadline - self._clock())
+            parts: list[bytes] = []
+            while True:
+                part = await conn.read_body_part(deadline - self._clock())
+                if part is None:
+                    break
+                parts.append(part)
+            is_done = True
+        finally:
+            if not is_done:
+                conn.close()
+        conn.finish()
+        if conn.is_reusable:
+            self._idle.setdefault(address, []).append(conn)
+        return HttpResponse(head.status, b"".join(parts))
+
+
+def _encode(address: tuple[str, int], path: str, query: Mapping[str, str]) -> bytes:
+    target = f"{path}?{urlencode(query)}" if query else path
+    host, port = address
+    return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+
+
+def _decode_head(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
+    closes = any(
+        name == b"connection" and value.lower() == b"close" for name, value in headers
+    )
+    return AnswerHead(
+        status=status,
+        request_id=_NO_ID,
+        is_not_run=False,
+        is_wrong_upstream=False,
+        is_sealed=False,
+        load=None,
+        keep_alive_s=None,
+        closes=closes,
+        headers=tuple(headers),
+    )
--- a/src/chicorylead/link/message.py
+++ b/src/chicorylead/link/message.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from chicorylead.ids import Incarnation, Offset, RouterId, UpstreamId
+from chicorylead.outcome.poison_notice import PoisonNotice
 from chicorylead.records.store import VersionedRecord
 from chicorylead.vm.view import MemberNotice
 
@@ -21,7 +22,6 @@
     "FleetReport",
     "Envelope",
     "Notice",
-    "PoisonNotice",
     "FleetPoolReport",
     "SubtreePoolReport",
     "Probe",
@@ -49,22 +49,6 @@
     upstream: UpstreamId
 
 
-class PoisonNotice(Struct, frozen=True, array_like=True, tag="p"):
-    """Crashes of upstreams while they ran one request.
-
-    Attributes:
-        fingerprint: Digest that identifies the request.
-        crashes: Ids of the crashes: upstream, separator and number.
-        cleared: Ids of crashes not caused by the request, as it later completed.
-        ttl_s: How long the notice is in force, seconds.
-    """
-
-    fingerprint: str
-    crashes: list[str]
-    cleared: list[str]
-    ttl_s: float
-
-
 class RouterNotice(Struct, frozen=True, array_like=True, tag="r"):
     """Notice of the state of a router."""
 
--- a/src/chicorylead/metrics.py
+++ b/src/chicorylead/metrics.py
@@ -1,8 +1,15 @@
 """Metrics, rendered for Prometheus and sent to a statsd daemon."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from bisect import bisect_left
+from typing import TYPE_CHECKING
+
 from statsd import StatsClient
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.metrics_core import Metric
+
 __all__ = ["Metrics"]
 
 # Seconds, from a fraction of the shortest objective to the longest deadline.
@@ -15,6 +22,30 @@
 LabelValues = tuple[str, ...]
 
 
+class _Histogram:
+    """Durations of one series: their number in each bucket, and their sum."""
+
+    __slots__ = ("counts", "sum_s")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum_s = 0.0
+
+    def observe(self, seconds: float) -> None:
+        self.counts[bisect_left(BUCKETS_S, seconds)] += 1
+        self.sum_s += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Return the upper bound of each bucket and the number up to it."""
+        bounds = [*(str(bound) for bound in BUCKETS_S), "+Inf"]
+        buckets: list[tuple[str, float]] = []
+        total = 0
+        for bound, count in zip(bounds, self.counts, strict=True):
+            total += count
+            buckets.append((bound, total))
+        return buckets
+
+
 class Metrics:
     """Records metrics, and sends them to a statsd daemon if one is configured.
 
@@ -35,24 +66,17 @@
     ) -> None:
         self._client = StatsClient(host, port, prefix=prefix) if host else None
         self._prefix = prefix
-        self._registry = CollectorRegistry()
-        self._counters: dict[str, Counter] = {}
-        self._histograms: dict[str, Histogram] = {}
-        self._children: dict[str, dict[LabelValues, Counter | Histogram]] = {}
+        self._labels: dict[str, tuple[str, ...]] = {}
+        self._counters: dict[str, dict[LabelValues, int]] = {}
+        self._histograms: dict[str, dict[LabelValues, _Histogram]] = {}
         self.totals: dict[str, int] = {}
 
     def count(self, name: str, n: int = 1, **labels: str) -> None:
         """Increment a counter by `n`."""
         self.totals[name] = self.totals.get(name, 0) + n
-        counter = self._counters.get(name)
-        if counter is None:
-            counter = self._counters[name] = Counter(
-                self._prometheus_name(name),
-                f"Number of {name}",
-                tuple(labels),
-                registry=self._registry,
-            )
-        self._labelled(counter, name, labels).inc(n)
+        series = self._counters.setdefault(name, {})
+        key = self._key(name, series, labels)
+        series[key] = series.get(key, 0) + n
         if self._client is not None:
             self._client.incr(_statsd_name(name, labels), n)
 
@@ -63,41 +87,63 @@
 
     def timing(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration in seconds; statsd receives milliseconds."""
-        histogram = self._histograms.get(name)
+        series = self._histograms.setdefault(name, {})
+        key = self._key(name, series, labels)
+        histogram = series.get(key)
         if histogram is None:
-            histogram = self._histograms[name] = Histogram(
-                self._prometheus_name(name) + "_seconds",
-                f"Time of {name}",
-                tuple(labels),
-                registry=self._registry,
-                buckets=BUCKETS_S,
-            )
-        self._labelled(histogram, name, labels).observe(seconds)
+            histogram = series[key] = _Histogram()
+        histogram.observe(seconds)
         if self._client is not None:
             self._client.timing(_statsd_name(name, labels), seconds * 1000.0)
 
     def render(self) -> bytes:
         """Return all counters and histograms in the Prometheus text format."""
-        return generate_latest(self._registry)
+        # Imported on the first scrape, as a router has to start on little processor
+        # time.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> "Iterator[Metric]":
+        """Yield all metrics, as the Prometheus registry asks for them."""
+        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+
+        for name, counts in self._counters.items():
+            counter = CounterMetricFamily(
+                self._prometheus_name(name),
+                f"Number of {name}",
+                labels=self._labels[name],
+            )
+            for key, value in counts.items():
+                counter.add_metric(key, value)
+            yield counter
+        for name, series in self._histograms.items():
+            family = HistogramMetricFamily(
+                self._prometheus_name(name) + "_seconds",
+                f"Time of {name}",
+                labels=self._labels[name],
+            )
+            for key, histogram in series.items():
+                family.add_metric(key, histogram.cumulative(), histogram.sum_s)
+            yield family
 
     def close(self) -> None:
         """Close the statsd socket."""
         if self._client is not None:
             self._client.close()
 
-    def _labelled(
-        self, metric: Counter | Histogram, name: str, labels: dict[str, str]
-    ) -> Counter | Histogram:
-        if not labels:
-            return metric
-        children = self._children.setdefault(name, {})
+    def _key(
+        self, name: str, series: dict[LabelValues, object], labels: dict[str, str]
+    ) -> LabelValues:
+        names = self._labels.setdefault(name, tuple(labels))
+        if names != tuple(labels):
+            raise ValueError(f"metric {name!r}: labels {tuple(labels)}, not {names}")
         key = tuple(labels.values())
-        child = children.get(key)
-        if child is None:
-            if len(children) >= MAX_SERIES:
-                key = (OTHER_LABEL,) * len(labels)
-            child = children[key] = metric.labels(*key)
-        return child
+        if key not in series and len(series) >= MAX_SERIES:
+            return (OTHER_LABEL,) * len(labels)
+        return key
 
     def _prometheus_name(self, name: str) -> str:
         return f"{self._prefix}_{name}".replace(".", "_")
--- a/src/chicorylead/outcome/poison.py
+++ b/src/chicorylead/outcome/poison.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from chicorylead.ids import ServiceName, UpstreamId
-from chicorylead.link.message import PoisonNotice
+from chicorylead.outcome.poison_notice import PoisonNotice
 
 __all__ = ["PoisonList", "fingerprint_of"]
 
--- /dev/null
+++ b/src/chicorylead/outcome/poison_notice.py
@@ -0,0 +1,21 @@
+"""Notice that upstreams crashed while they ran a request."""
+
+from msgspec import Struct
+
+__all__ = ["PoisonNotice"]
+
+
+class PoisonNotice(Struct, frozen=True, array_like=True, tag="p"):
+    """Crashes of upstreams while they ran one request.
+
+    Attributes:
+        fingerprint: Digest that identifies the request.
+        crashes: Ids of the crashes: upstream, separator and number.
+        cleared: Ids of crashes not caused by the request, as it later completed.
+        ttl_s: How long the notice is in force, seconds.
+    """
+
+    fingerprint: str
+    crashes: list[str]
+    cleared: list[str]
+    ttl_s: float
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from chicorylead.link.message import PoisonNotice
+from chicorylead.outcome.poison_notice import PoisonNotice
 
 __all__ = [
     "Beacon",
--- a/src/chicorylead/platform/store.py
+++ b/src/chicorylead/platform/store.py
@@ -1,20 +1,12 @@
 """HTTP client of the platform's store, a partitioned log."""
 
 import base64
-import socket
 import struct
 
 import msgspec
-from aiohttp import (
-    AddrInfoType,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    TCPConnector,
-)
 from msgspec import Struct
 
+from chicorylead.http_client import HttpClient
 from chicorylead.traffic.stream import (
     StoreUnavailable,
     Stream,
@@ -22,19 +14,13 @@
     StreamRecord,
     StreamTrimmed,
 )
+from chicorylead.upstream.connection import Failure
 
 __all__ = ["StoreClient"]
 
 _TOPICS = {Stream.CONFIGURATION: "keyed.op", Stream.UPSTREAMS: "keyed.servers"}
 
-# Twice a fifth of the shortest time in which a change must apply.
-CONNECT_TIMEOUT_S = 1.0
 RESPONSE_MARGIN_S = 2.0  # added to the requested wait; a slow store takes 0.5 s
-# A dead connection is detected after 2 s: one idle second, one probe.
-KEEP_ALIVE_IDLE_S = 1
-KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_COUNT = 1
-USER_TIMEOUT_MS = 2000
 
 _GONE = 410
 _OFFSETS = struct.Struct(">QQ")
@@ -67,17 +53,13 @@
     """
 
     def __init__(self, host: str, port: int) -> None:
-        self._base = f"http://{host}:{port}/api"
-        connector = TCPConnector(socket_factory=_open_socket, keepalive_timeout=15.0)
-        self._session = ClientSession(
-            connector=connector,
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        )
+        self._address = (host, port)
+        self._client = HttpClient()
         self.n_calls = 0
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        await self._client.close()
 
     async def newest(self, stream: Stream) -> StreamPage:
         """Return the newest record of each key.
@@ -117,35 +99,18 @@
 
     async def _get(self, call: str, query: dict[str, str], wait_s: float) -> bytes:
         self.n_calls += 1
-        timeout = ClientTimeout(
-            total=wait_s + RESPONSE_MARGIN_S, sock_connect=CONNECT_TIMEOUT_S
-        )
+        timeout_s = wait_s + RESPONSE_MARGIN_S
         try:
-            async with self._session.get(
-                f"{self._base}/{call}", params=query, timeout=timeout
-            ) as response:
-                return await _body(response, call)
-        except (ClientError, OSError, TimeoutError) as exc:
-            raise StoreUnavailable(f"{call}: {exc!r}") from exc
-
-
-async def _body(response: ClientResponse, call: str) -> bytes:
-    if response.status == _GONE:
-        raise StreamTrimmed(call)
-    if response.status != 200:
-        raise StoreUnavailable(f"{call}: status {response.status}")
-    return await response.read()
-
-
-def _open_socket(info: AddrInfoType) -> socket.socket:
-    family, kind, proto, _, _ = info
-    sock = socket.socket(family, kind, proto)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    return sock
+            response = await self._client.get(
+                self._address, f"/api/{call}", query, timeout_s
+            )
+        except Failure as exc:
+            raise StoreUnavailable(f"{call}: {exc}") from exc
+        if response.status == _GONE:
+            raise StreamTrimmed(call)
+        if response.status != 200:
+            raise StoreUnavailable(f"{call}: status {response.status}")
+        return response.body
 
 
 def _decode_newest(body: bytes) -> _NewestPage:
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -27,7 +27,6 @@
 from chicorylead.link.hub import LinkHub
 from chicorylead.link.message import (
     Notice,
-    PoisonNotice,
     RecordsAnswer,
     UpstreamNotice,
 )
@@ -35,6 +34,7 @@
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.claimer import Claimer
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.poison_notice import PoisonNotice
 from chicorylead.outcome.reconcile import Reconciler
 from chicorylead.records.log import ConfigReader, Publisher
 from chicorylead.records.model import RecordKind
--- a/src/chicorylead/router/dispatch.py
+++ b/src/chicorylead/router/dispatch.py
@@ -11,12 +11,12 @@
 from chicorylead.backing.api import PlatformUnavailable
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.ids import OrganisationId, ServiceName, UpstreamId
-from chicorylead.link.message import PoisonNotice
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.claim import Claim, KeyState, Outcome, OutcomeState
 from chicorylead.outcome.claimer import Claimer, Won
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.poison_notice import PoisonNotice
 from chicorylead.outcome.reconcile import Reconciler
 from chicorylead.records.model import ServiceType
 from chicorylead.records.store import RecordStore
--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -4,13 +4,14 @@
 import contextlib
 import socket
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from enum import Enum
 
 import httptools
 
 from chicorylead.upstream.answer import AnswerHead
 
-__all__ = ["Connection", "Failure", "FailureKind", "open_connection"]
+__all__ = ["Connection", "Failure", "FailureKind", "KeepAlive", "open_connection"]
 
 DecodeHead = Callable[[int, Sequence[tuple[bytes, bytes]]], AnswerHead]
 
@@ -21,11 +22,29 @@
 # the largest head that callers may send, and more than a late answer to another
 # request.
 MAX_STRAY_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class KeepAlive:
+    """TCP options that detect a silent connection.
+
+    Attributes:
+        idle_s: Idle time before the first probe, seconds.
+        interval_s: Time between probes, seconds.
+        n_probes: Unanswered probes after which the connection is dropped.
+        user_timeout_ms: Longest time without an acknowledgement, milliseconds.
+    """
+
+    idle_s: int
+    interval_s: int
+    n_probes: int
+    user_timeout_ms: int
+
+
 # A silent connection is detected after 3 s without an acknowledgement.
-KEEP_ALIVE_IDLE_S = 1
-KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_COUNT = 2
-USER_TIMEOUT_MS = 3000
+UPSTREAM_KEEP_ALIVE = KeepAlive(
+    idle_s=1, interval_s=1, n_probes=2, user_timeout_ms=3000
+)
 
 
 class FailureKind(Enum):
@@ -317,9 +336,13 @@
 
 
 async def open_connection(
-    host: str, port: int, timeout_s: float, decode: DecodeHead
+    host: str,
+    port: int,
+    timeout_s: float,
+    decode: DecodeHead,
+    keep_alive: KeepAlive = UPSTREAM_KEEP_ALIVE,
 ) -> Connection:
-    """Connect to an upstream.
+    """Connect to a server.
 
     Raises:
         Failure: NOT_SENT.
@@ -335,14 +358,15 @@
     sock = transport.get_extra_info("socket")
     if sock is not None:
         with contextlib.suppress(OSError):
-            _set_options(sock)
+            _set_options(sock, keep_alive)
     return conn
 
 
-def _set_options(sock: socket.socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+def _set_options(sock: socket.socket, keep_alive: KeepAlive) -> None:
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, keep_alive.idle_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, keep_alive.interval_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, keep_alive.n_probes)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, keep_alive.user_timeout_ms)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from chicorylead.ids import UpstreamId
-from chicorylead.link.message import PoisonNotice
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.poison_notice import PoisonNotice
 
 U1, U2 = UpstreamId("u1"), UpstreamId("u2")
 crash_ids = st.lists(st.sampled_from(["u1|1", "u1|2", "u2|3", "u3|4"]), max_size=4)
