--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -18,15 +18,18 @@
 from chicorylead.gateway.follower import OnRecord, OnSnapshot, StreamFollower
 from chicorylead.gateway.forward import Forwarder
 from chicorylead.gateway.ingress import Ingress
+from chicorylead.gateway.local_router import GatewayRouter
 from chicorylead.gateway.peer_records import PeerRecords
 from chicorylead.gateway.peer_state import PeerState, work_report
+from chicorylead.gateway.records_age import RecordsAge
+from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import ServiceName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
-from chicorylead.peer.datagram import Beacon
+from chicorylead.peer.membership import Peer
 from chicorylead.peer.protocol import PeerProtocol
 from chicorylead.platform.configuration import decode_configuration
 from chicorylead.platform.registry import decode_upstream
@@ -47,7 +50,6 @@
 SHARES_LOG_INTERVAL_S = 1.0  # a quarter of the default window of shares
 IDLE_SWEEP_INTERVAL_S = 1.0  # keep-alive times are whole seconds
 METRICS_PATH = "/metrics"
-MAX_SUSPECTS_SENT = 20  # keeps beacons small; the newest matter most
 # Refused callers retry on new connections and leave the old ones open. A process has a
 # few thousand file descriptors, and each connection takes 10 kB.
 MAX_KEPT_CONNECTIONS = 1_500
@@ -84,6 +86,8 @@
         self._registry = Registry(
             decode_upstream, decode_answer, self._store_connected_since, self.log
         )
+        self._serving = ServingRouters(cfg, self._live_peers, self._clock)
+        self._records_age = RecordsAge(lambda: self._followers.values(), self._clock)
         self._followers = {
             Stream.CONFIGURATION: self._make_follower(
                 Stream.CONFIGURATION, self._apply_configuration, lambda _: None, rng
@@ -100,26 +104,31 @@
         self._peer_state = PeerState(
             self._registry, self._shares, self._poison, self.log
         )
+        self._directory = Directory(cfg, self._serving)
+        self._peer_records = PeerRecords(
+            self._followers, self._live_peers, cfg.zone, self.log, self._metrics
+        )
         self._peers = PeerProtocol(
-            cfg.id,
-            cfg.zone,
             incarnation,
+            cfg.zone,
             cfg.peers,
             cfg.seeds,
-            self._make_beacon,
-            self._end_offsets,
-            self._peer_state.pop_changed_usage,
-            self._peer_state.apply_beacon,
-            self._peer_state.apply_delta,
-            self._peer_state.drop_peer,
+            GatewayRouter(
+                cfg,
+                incarnation,
+                self._peer_state,
+                self._serving,
+                self._records_age,
+                self._poison,
+                self._end_offsets,
+                self._peer_records.wake,
+                self._clock,
+            ),
+            self._clock,
             self.log,
             self._metrics,
             rng,
         )
-        self._directory = Directory(cfg, self._peers)
-        self._peer_records = PeerRecords(
-            self._followers, self._peers.live, self.log, self._metrics
-        )
         admission = AdmissionController(
             self._registry, self._shares, self._shortest_objective_s, self.log, rng
         )
@@ -128,7 +137,7 @@
             self._poison,
             cfg.bounds,
             self._queue_report,
-            lambda: 1 + len(self._peers.live()),
+            lambda: 1 + len(self._peers.state_peers()),
             self.log,
             self._metrics,
         )
@@ -137,6 +146,7 @@
             lambda: self._configuration,
             self._should_close,
             lambda: self._is_refusing,
+            lambda: self._serving.arrivals.record(self._clock()),
             self.log,
             self._metrics,
             rng,
@@ -169,6 +179,8 @@
             stream,
             on_record,
             on_snapshot,
+            lambda: self._serving.is_reader() or self._records_age.is_too_high,
+            lambda: self._peers.send_heartbeats(),
             self.log,
             self._metrics,
             rng,
@@ -306,42 +318,31 @@
 
     def _update_readiness(self) -> None:
         is_ready = self._configuration is not None and not self._is_draining
-        if is_ready != self._directory.is_ready:
-            self._directory.is_ready = is_ready
+        if is_ready != self._serving.is_ready:
+            self._serving.is_ready = is_ready
+            self._serving.handle_change()
             self.log.info("readiness", ready=is_ready)
-            self._peers.send_beacon()
+            self._peers.announce()
 
     def _shortest_objective_s(self, service: ServiceName) -> float:
         cfg = self._configuration
         return cfg.shortest_objective_s(service) if cfg is not None else 0.0
 
     def _store_connected_since(self) -> float:
-        follower = self._followers[Stream.UPSTREAMS]
-        return follower.connected_at if follower.is_connected else self._clock()
+        """Return the time since which the store has been answering, seconds."""
+        if self._records_age.is_too_high:
+            return self._clock()
+        return self._followers[Stream.UPSTREAMS].connected_at
 
     # -- peers
 
+    def _live_peers(self) -> list[Peer]:
+        return self._peers.live()
+
     def _end_offsets(self) -> tuple[int, int]:
         configuration, upstreams = (self._followers[s].end for s in Stream)
         return configuration, upstreams
 
-    def _make_beacon(self, sequence: int, peers: list[str]) -> Beacon:
-        return Beacon(
-            id=self._cfg.id,
-            host=self._cfg.peers[0],
-            incarnation=self._incarnation,
-            sequence=sequence,
-            zone=self._cfg.zone,
-            callers="{}:{}".format(*self._cfg.callers),
-            control="{}:{}".format(*self._cfg.control),
-            is_ready=self._directory.is_ready,
-            end_offsets=self._end_offsets(),
-            work=self._peer_state.local_work(),
-            usage=self._peer_state.local_usage(),
-            peers=peers,
-            suspects=self._poison.notices(MAX_SUSPECTS_SENT),
-        )
-
     def _queue_report(
         self, upstream: LiveUpstream, parts: Sequence[PromptPart]
     ) -> None:
--- a/src/chicorylead/gateway/directory.py
+++ b/src/chicorylead/gateway/directory.py
@@ -1,6 +1,6 @@
-"""Answers callers' address look-ups with the routers to use.
+"""Answers callers' address look-ups with the serving routers.
 
-If the fleet exceeds one answer, each caller gets a subset of it. The subset of a caller
+If they exceed one answer, each caller gets a subset of it. The subset of a caller
 is stable, so that it keeps its connections, and all routers get callers.
 """
 
@@ -8,8 +8,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
-from chicorylead.peer.protocol import PeerProtocol
 from chicorylead.platform.caller import (
     ADDRESS_PATH,
     READINESS_PATH,
@@ -28,13 +28,12 @@
 
     Args:
         cfg: Settings of this router.
-        peers: Lists the live peers.
+        serving: The routers that callers are told to use.
     """
 
-    def __init__(self, cfg: GatewaySettings, peers: PeerProtocol) -> None:
+    def __init__(self, cfg: GatewaySettings, serving: ServingRouters) -> None:
         self._cfg = cfg
-        self._peers = peers
-        self.is_ready = False
+        self._serving = serving
 
     def routes(self) -> list[Route]:
         """Return the HTTP routes."""
@@ -45,21 +44,11 @@
 
     def addresses_for(self, caller: str) -> list[str]:
         """Return the router addresses for a caller."""
-        addresses = self.ready_addresses()
+        addresses = self._serving.addresses()
         if len(addresses) > MAX_ADDRESSES:
             addresses = rank(caller, addresses)[:MAX_ADDRESSES]
         return sorted(addresses)
 
-    def ready_addresses(self) -> list[str]:
-        """Return the addresses of all routers that accept requests."""
-        addresses = [
-            peer.beacon.callers for peer in self._peers.live() if peer.beacon.is_ready
-        ]
-        if self.is_ready:
-            host, port = self._cfg.callers
-            addresses.append(f"{host}:{port}")
-        return addresses
-
     async def _addresses(self, req: Request) -> Response:
         caller = req.client.host if req.client is not None else ""
         addresses = self.addresses_for(caller)
@@ -70,4 +59,4 @@
         return Response(body, media_type="application/json")
 
     async def _readiness(self, req: Request) -> Response:
-        return Response(status_code=200 if self.is_ready else 503)
+        return Response(status_code=200 if self._serving.is_ready else 503)
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -33,6 +33,7 @@
         configuration: Returns the configuration in force, or None.
         should_close: Returns whether to close connections after their answers.
         is_refusing: Returns whether new requests are refused.
+        on_arrival: Called with each request of a known operation.
 
     Attributes:
         n_in_flight: Requests that wait for their answer.
@@ -44,6 +45,7 @@
         configuration: Callable[[], Configuration | None],
         should_close: Callable[[], bool],
         is_refusing: Callable[[], bool],
+        on_arrival: Callable[[], None],
         log: EventLog,
         metrics: Metrics,
         rng: Random,
@@ -52,6 +54,7 @@
         self._configuration = configuration
         self._should_close = should_close
         self._is_refusing = is_refusing
+        self._on_arrival = on_arrival
         self._log = log
         self._metrics = metrics
         self._rng = rng
@@ -171,6 +174,7 @@
             raise Refusal(
                 ErrorKind.NOT_FOUND, f"no operation matches path {head.path!r}"
             )
+        self._on_arrival()
         organisation = _organisation(cfg, operation, head)
         answer_deadline, waited_s = self._deadline_and_wait(head, operation, arrived_at)
         return ForwardRequest(
--- /dev/null
+++ b/src/chicorylead/gateway/local_router.py
@@ -0,0 +1,136 @@
+"""What a gateway tells its peers about itself, and what it does with their reports."""
+
+from collections.abc import Callable
+
+from chicorylead.gateway.peer_state import PeerState
+from chicorylead.gateway.records_age import RecordsAge
+from chicorylead.gateway.serving_routers import ServingRouters
+from chicorylead.gateway.settings import GatewaySettings
+from chicorylead.outcome.poison import PoisonList
+from chicorylead.peer.datagram import (
+    Beacon,
+    Heartbeat,
+    Presence,
+    StateDelta,
+    UsageReport,
+)
+from chicorylead.peer.membership import Peer
+
+__all__ = ["GatewayRouter"]
+
+MAX_SUSPECTS_SENT = 20  # keeps beacons small; the newest matter most
+# Beacons go on for some time after the last request, as any of them may be lost.
+STATE_HOLD_S = 3.0
+MAX_AGE_S = 1e6  # an age that stands for no records at all
+
+
+class GatewayRouter:
+    """The `LocalRouter` of a gateway.
+
+    Args:
+        cfg: Settings of this router.
+        incarnation: Differs at each start.
+        state: Work and usage at this router and at its peers.
+        serving: The routers that callers are told to use.
+        records_age: Time since the records were known to be current.
+        poison: Requests under which upstreams crashed.
+        end_offsets: Returns the end offset known to this router of each stream.
+        on_news: Called when a peer knows records that this router lacks.
+        clock: Returns the time of the event loop, seconds.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        incarnation: int,
+        state: PeerState,
+        serving: ServingRouters,
+        records_age: RecordsAge,
+        poison: PoisonList,
+        end_offsets: Callable[[], tuple[int, int]],
+        on_news: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._cfg = cfg
+        self._incarnation = incarnation
+        self._state = state
+        self._serving = serving
+        self._records_age = records_age
+        self._poison = poison
+        self._end_offsets = end_offsets
+        self._on_news = on_news
+        self._clock = clock
+        self._had_state_at = float("-inf")
+
+    def make_presence(self, sequence: int, peers: list[str]) -> Presence:
+        """Return the presence of this router."""
+        return Presence(
+            id=self._cfg.id,
+            host=self._cfg.peers[0],
+            incarnation=self._incarnation,
+            sequence=sequence,
+            zone=self._cfg.zone,
+            callers="{}:{}".format(*self._cfg.callers),
+            control="{}:{}".format(*self._cfg.control),
+            cores=self._cfg.cores,
+            is_ready=self._serving.is_ready,
+            requests_per_s=round(self._serving.arrivals.per_s(self._clock()), 1),
+            end_offsets=self._end_offsets(),
+            peers=peers,
+        )
+
+    def make_beacon(self, presence: Presence) -> Beacon:
+        """Return the state of this router."""
+        return Beacon(
+            presence,
+            self._state.local_work(),
+            self._state.local_usage(),
+            self._poison.notices(MAX_SUSPECTS_SENT),
+        )
+
+    def end_offsets(self) -> tuple[int, int]:
+        """Return the end offset known to this router of each stream."""
+        return self._end_offsets()
+
+    def records_age_s(self) -> float:
+        """Return the time since this router's records were known to be current."""
+        return min(self._records_age.seconds(), MAX_AGE_S)
+
+    def pop_changed_usage(self) -> list[UsageReport]:
+        """Return the usage that changed since the last call."""
+        return self._state.pop_changed_usage()
+
+    def is_serving(self, peer: Peer) -> bool:
+        """Return whether callers are told to use a peer."""
+        return self._serving.is_serving(peer)
+
+    def has_state(self) -> bool:
+        """Return whether this router's state matters to others."""
+        now = self._clock()
+        if self._state.is_active() or self._poison.notices(1):
+            self._had_state_at = now
+        return now - self._had_state_at < STATE_HOLD_S
+
+    def apply_beacon(self, beacon: Beacon) -> None:
+        """Replace the state of a peer."""
+        self._learn_offsets(beacon.presence.end_offsets)
+        self._state.apply_beacon(beacon)
+
+    def apply_delta(self, peer: str, delta: StateDelta) -> None:
+        """Apply changes of the state of a live peer."""
+        self._state.apply_delta(peer, delta)
+
+    def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Learn from a peer how current the records are."""
+        self._records_age.learn(heartbeat.records_age_ms / 1000)
+        self._learn_offsets(heartbeat.end_offsets)
+
+    def drop_peer(self, peer: str) -> None:
+        """Remove the state of a lost peer."""
+        self._serving.handle_change()
+        self._state.drop_peer(peer)
+
+    def _learn_offsets(self, end_offsets: tuple[int, int]) -> None:
+        own = self._end_offsets()
+        if any(theirs > ours for theirs, ours in zip(end_offsets, own, strict=True)):
+            self._on_news()
--- a/src/chicorylead/gateway/peer_records.py
+++ b/src/chicorylead/gateway/peer_records.py
@@ -1,6 +1,7 @@
-"""Fetches records from peers when the store is unavailable to this router."""
+"""Fetches from peers the records that this router lacks."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -10,10 +11,12 @@
 
 from chicorylead.gateway.follower import StreamFollower
 from chicorylead.http_client import HttpClient, HttpResponse
+from chicorylead.ids import ZoneName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.peer.protocol import Beacon, Peer
-from chicorylead.traffic.stream import Stream, StreamPage
+from chicorylead.peer.datagram import Presence
+from chicorylead.peer.membership import Peer
+from chicorylead.traffic.stream import PeerPage, Stream
 from chicorylead.upstream.connection import Failure
 
 __all__ = ["PeerRecords"]
@@ -30,17 +33,21 @@
     Args:
         followers: The follower of each stream.
         peers: Returns the live peers.
+        zone: Availability zone of this router.
     """
 
     def __init__(
         self,
         followers: Mapping[Stream, StreamFollower],
         peers: Callable[[], list[Peer]],
+        zone: ZoneName,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         self._followers = followers
         self._peers = peers
+        self._zone = zone
+        self._woken = asyncio.Event()
         self._log = log
         self._metrics = metrics
         self._clock = asyncio.get_running_loop().time
@@ -56,10 +63,17 @@
         await self._client.close()
 
     async def run(self) -> None:
-        """Fetch missing records at intervals until cancelled."""
+        """Fetch missing records when woken and at intervals, until cancelled."""
         while True:
+            self._woken.clear()
             await self.fetch_missing()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._woken.wait()
+
+    def wake(self) -> None:
+        """Check at once whether a peer knows more records."""
+        self._woken.set()
 
     async def fetch_missing(self) -> None:
         """Fetch from peers the records that this router lacks."""
@@ -68,8 +82,15 @@
 
     async def _fetch_if_behind(self, stream: Stream, follower: StreamFollower) -> None:
         index = list(Stream).index(stream)
+        # Bytes between zones are billed.
         most_advanced = max(
-            self._peers(), key=lambda peer: peer.end_offsets[index], default=None
+            self._peers(),
+            key=lambda peer: (
+                peer.end_offsets[index],
+                peer.presence.zone == self._zone,
+                peer.last_heard_at,
+            ),
+            default=None,
         )
         now = self._clock()
         if most_advanced is None or most_advanced.end_offsets[index] <= follower.end:
@@ -77,42 +98,46 @@
             return
         since = self._behind_since.setdefault(stream, now)
         if not follower.is_connected or now - since >= STORE_GRACE_S:
-            await self._fetch(stream, follower, most_advanced.beacon)
+            await self._fetch(stream, follower, most_advanced.presence)
 
     async def _fetch(
-        self, stream: Stream, follower: StreamFollower, beacon: Beacon
+        self, stream: Stream, follower: StreamFollower, peer: Presence
     ) -> None:
-        host, _, port = beacon.control.rpartition(":")
+        host, _, port = peer.control.rpartition(":")
         try:
             response = await self._client.get(
                 (host, int(port)),
                 _PATH.format(stream=stream.value),
-                {},
+                {"from": str(follower.end)},
                 FETCH_TIMEOUT_S,
             )
             page = _decode(response)
         except (Failure, ValueError) as exc:
             self._metrics.count("peer.fetch_errors")
             self._log.warning(
-                "peer_fetch_failed", peer=beacon.id, stream=stream, reason=repr(exc)
+                "peer_fetch_failed", peer=peer.id, stream=stream, reason=repr(exc)
             )
             return
-        follower.apply_peer_page(page, beacon.id)
+        follower.apply_peer_page(page, peer.id)
 
     async def _serve(self, req: Request) -> Response:
         try:
             follower = self._followers[Stream(req.path_params["stream"])]
         except ValueError:
             return Response(status_code=404)
+        try:
+            start = int(req.query_params.get("from", "0"))
+        except ValueError:
+            return Response(status_code=400)
         if not follower.is_complete:
             return Response(status_code=503)
         return Response(
-            msgspec.msgpack.encode(follower.page()),
+            msgspec.msgpack.encode(follower.page_since(start)),
             media_type="application/msgpack",
         )
 
 
-def _decode(response: HttpResponse) -> StreamPage:
+def _decode(response: HttpResponse) -> PeerPage:
     """Decode the records of a peer.
 
     Raises:
@@ -120,4 +145,4 @@
     """
     if response.status != 200:
         raise ValueError(f"status {response.status}")
-    return msgspec.msgpack.decode(response.body, type=StreamPage)
+    return msgspec.msgpack.decode(response.body, type=PeerPage)
--- a/src/chicorylead/gateway/peer_state.py
+++ b/src/chicorylead/gateway/peer_state.py
@@ -35,8 +35,18 @@
         self._clock = asyncio.get_running_loop().time
 
     def local_work(self) -> list[WorkReport]:
-        """Return this router's work at each upstream."""
-        return [work_report(upstream) for upstream in self._registry.all()]
+        """Return this router's work at the upstreams at which it has any."""
+        return [
+            work_report(upstream)
+            for upstream in self._registry.all()
+            if _has_own_work(upstream)
+        ]
+
+    def is_active(self) -> bool:
+        """Return whether this router has work or usage that peers should know."""
+        return bool(self._shares.own()) or any(
+            _has_own_work(upstream) for upstream in self._registry.all()
+        )
 
     def local_usage(self) -> list[UsageReport]:
         """Return the usage of organisations at this router."""
@@ -48,19 +58,20 @@
 
     def apply_beacon(self, beacon: Beacon) -> None:
         """Replace the state of a peer by the full state in a beacon."""
+        peer = beacon.presence.id
         reported = {report.upstream: report for report in beacon.work}
         for upstream in self._registry.all():
             report = reported.get(upstream.id)
             if report is not None:
-                self._apply_work(upstream, beacon.id, report)
+                self._apply_work(upstream, peer, report)
             else:
-                _clear_work(upstream, beacon.id)
+                _clear_work(upstream, peer)
         usage = _decode_usage(beacon.usage)
-        self._shares.set_peer(beacon.id, beacon.incarnation, usage)
+        self._shares.set_peer(peer, beacon.presence.incarnation, usage)
         for notice in beacon.suspects:
             if self._poison.merge(notice):
                 self._log.warning(
-                    "suspect_told", peer=beacon.id, fingerprint=notice.fingerprint
+                    "suspect_told", peer=peer, fingerprint=notice.fingerprint
                 )
 
     def apply_delta(self, peer: str, delta: StateDelta) -> None:
@@ -76,13 +87,11 @@
                 parts = [PromptPart(PromptPartId(id_), n) for id_, n in report.parts]
                 upstream.prefixes.record_parts(parts)
 
-    def drop_peer(self, beacon: Beacon) -> None:
+    def drop_peer(self, peer: str) -> None:
         """Remove the work of a lost peer; it ends when its connections close."""
-        for report in beacon.work:
-            upstream = self._registry.get(UpstreamId(report.upstream))
-            if upstream is not None:
-                _clear_work(upstream, beacon.id)
-        self._shares.mark_peer_lost(beacon.id)
+        for upstream in self._registry.all():
+            _clear_work(upstream, peer)
+        self._shares.mark_peer_lost(peer)
 
     def _apply_work(
         self, upstream: LiveUpstream, peer: str, report: WorkReport
@@ -105,6 +114,10 @@
     )
 
 
+def _has_own_work(upstream: LiveUpstream) -> bool:
+    return upstream.work.own.n_requests > 0 or upstream.backlog.own_pending_tokens > 0
+
+
 def _clear_work(upstream: LiveUpstream, peer: str) -> None:
     upstream.work.set_peer(peer, NO_WORK)
     upstream.backlog.remove_peer(peer)
--- /dev/null
+++ b/src/chicorylead/gateway/serving_routers.py
@@ -0,0 +1,95 @@
+"""The routers that callers are told to use, and those that read the store."""
+
+from collections.abc import Callable
+
+from chicorylead.gateway.settings import GatewaySettings
+from chicorylead.ids import RouterId, ZoneName
+from chicorylead.peer.membership import Peer
+from chicorylead.vm.serving import ArrivalRate, Candidate, DemandPeak, choose_serving
+
+__all__ = ["ServingRouters"]
+
+MAX_CHOICE_AGE_S = 0.1  # a tenth of the time in which a loss is noticed
+
+
+class ServingRouters:
+    """Evaluates `choose_serving` over this router and its live peers.
+
+    Args:
+        cfg: Settings of this router.
+        peers: Returns the live peers.
+        clock: Returns the time of the event loop, seconds.
+
+    Attributes:
+        is_ready: Whether callers may use this router.
+        arrivals: Requests that arrive at this router.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        peers: Callable[[], list[Peer]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._cfg = cfg
+        self._peers = peers
+        self._clock = clock
+        self._peak = DemandPeak()
+        self._chosen_at = float("-inf")
+        self._serving: set[RouterId] = set()
+        self._readers: set[RouterId] = set()
+        self.is_ready = False
+        self.arrivals = ArrivalRate(clock())
+
+    def addresses(self) -> list[str]:
+        """Return the callers' addresses of the serving routers."""
+        serving = self._choose()
+        addresses = [
+            peer.presence.callers
+            for peer in self._peers()
+            if peer.presence.is_ready and peer.presence.id in serving
+        ]
+        if self.is_ready and self._cfg.id in serving:
+            addresses.append("{}:{}".format(*self._cfg.callers))
+        return addresses
+
+    def is_serving(self, peer: Peer) -> bool:
+        """Return whether callers are told to use a peer."""
+        return peer.presence.id in self._choose()
+
+    def is_own_serving(self) -> bool:
+        """Return whether callers are told to use this router."""
+        return self._cfg.id in self._choose()
+
+    def is_reader(self) -> bool:
+        """Return whether this router is one of those that read the store."""
+        self._choose()
+        return self._cfg.id in self._readers
+
+    def handle_change(self) -> None:
+        """Choose again, as a router was lost or changed its readiness."""
+        self._chosen_at = float("-inf")
+
+    def _choose(self) -> set[RouterId]:
+        now = self._clock()
+        if now - self._chosen_at < MAX_CHOICE_AGE_S:
+            return self._serving
+        self._chosen_at = now
+        rate = self.arrivals.per_s(now)
+        candidates: list[Candidate] = []
+        if self.is_ready:
+            candidates.append(Candidate(self._cfg.id, self._cfg.zone, self._cfg.cores))
+        for peer in self._peers():
+            presence = peer.presence
+            rate += presence.requests_per_s
+            if presence.is_ready:
+                candidates.append(
+                    Candidate(
+                        RouterId(presence.id), ZoneName(presence.zone), presence.cores
+                    )
+                )
+        peak = self._peak.record(rate, now)
+        self._serving = choose_serving(candidates, peak)
+        # The fewest that leave each zone a reader when one is lost.
+        self._readers = choose_serving(candidates, 0.0)
+        return self._serving
--- a/src/chicorylead/gateway/settings.py
+++ b/src/chicorylead/gateway/settings.py
@@ -43,6 +43,7 @@
         metrics: Address at which counters and histograms are read.
         seeds: IP addresses of some peers.
         store: Address of the platform's store.
+        cores: Processor capacity of the VM, cores.
         seed: Seed of the random numbers.
     """
 
@@ -57,5 +58,6 @@
     metrics: Address
     seeds: tuple[str, ...]
     store: Address
+    cores: float = 1.0
     seed: int = 1
     bounds: Bounds = field(default_factory=Bounds)
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -1,8 +1,8 @@
 """Messages between routers, sent as UDP datagrams.
 
 A beacon holds the full state of its sender, so that lost, duplicate and late ones do no
-harm: the newest of a sender's incarnation applies. Heartbeats between beacons only show
-that the sender is alive, and deltas report fast-changing state at once.
+harm: the newest of a sender's incarnation applies. Presences tell which routers exist,
+heartbeats that their sender is alive, and deltas report fast-changing state at once.
 """
 
 from msgspec import Struct
@@ -12,9 +12,11 @@
 __all__ = [
     "Beacon",
     "Heartbeat",
+    "Presence",
     "RelayedDatagram",
     "SendReport",
     "StateDelta",
+    "Suspicion",
     "UsageReport",
     "WorkReport",
 ]
@@ -73,15 +75,31 @@
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag="p"):
-    """Sent between beacons to show that the sender is alive.
+    """Shows that its sender is alive.
 
     Attributes:
         end_offsets: End offset known to it of each stream, in the order of `Stream`.
+        records_age_ms: Time since its records were known to be current, milliseconds.
+        wants_reply: Whether the receiver is to answer with a heartbeat at once.
     """
 
     incarnation: int
     sequence: int
     end_offsets: tuple[int, int]
+    records_age_ms: int
+    wants_reply: bool = False
+
+
+class Suspicion(Struct, frozen=True, array_like=True, tag="q"):
+    """Asks all routers to check whether one of them is lost.
+
+    Attributes:
+        host: IP address of the router that fell silent.
+        incarnation: Its last known incarnation.
+    """
+
+    host: str
+    incarnation: int
 
 
 class RelayedDatagram(Struct, frozen=True, array_like=True, tag="r"):
@@ -98,19 +116,21 @@
     is_final: bool
 
 
-class Beacon(Struct, frozen=True, array_like=True, tag="b"):
-    """State of a router.
+class Presence(Struct, frozen=True, array_like=True, tag="h"):
+    """Tells that a router exists, and what it is.
 
     Attributes:
         host: IP address at which the sender receives datagrams.
         incarnation: Differs at each start of the sender.
-        sequence: Increases with each beacon or heartbeat.
+        sequence: Increases with each datagram of the sender that carries one.
         callers: Address for callers.
         control: Address at which peers fetch records.
+        cores: Processor capacity of its VM, cores.
         is_ready: Whether callers may use it.
+        requests_per_s: Rate of requests that arrive at it.
         end_offsets: End offset known to it of each stream, in the order of `Stream`.
-        peers: IP addresses of its live peers.
-        suspects: Requests under which upstreams crashed.
+        peers: IP addresses of live peers; all of them in a reply, else a few.
+        wants_reply: Whether the receiver is to answer with its own presence.
     """
 
     id: str
@@ -120,9 +140,24 @@
     zone: str
     callers: str
     control: str
+    cores: float
     is_ready: bool
+    requests_per_s: float
     end_offsets: tuple[int, int]
+    peers: list[str]
+    wants_reply: bool = False
+
+
+class Beacon(Struct, frozen=True, array_like=True, tag="b"):
+    """State of a router.
+
+    Attributes:
+        work: Work at the upstreams to which it has sent requests.
+        usage: Usage of organisations, per pool.
+        suspects: Requests under which upstreams crashed.
+    """
+
+    presence: Presence
     work: list[WorkReport]
     usage: list[UsageReport]
-    peers: list[str]
     suspects: list[PoisonNotice] = []
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -1,20 +1,23 @@
 """Exchanges state between routers in UDP datagrams.
 
 There is no connection that could stall unnoticed: a router that is cut off or frozen is
-detected within a second. Full states (beacons) are large and change slowly compared
-with the backlogs of engines: they are sent a few times a second, heartbeats more often.
-Deltas report prompts sent to engines within milliseconds, as routers that learn late of
-each other's sends all fill the same engine. Deltas include the usage of organisations:
-if routers learn late what an organisation got elsewhere, each grants its share again.
-
-Traffic between zones is billed. A zone with several routers gets one copy of each
-broadcast, relayed by its routers in turn; heartbeats always go directly.
+detected within a second. Heartbeats go to the few routers that watch this one, and
+presences to all in turn, so that neither grows with the fleet. Routers that serve
+callers also tell each other what they do: beacons hold the full state and are sent
+twice a second, and deltas report prompts sent to engines within milliseconds, as
+routers that learn late of each other's sends all fill the same engine. Deltas include
+the usage of organisations: if routers learn late what an organisation got elsewhere,
+each grants its share again.
+
+Traffic between zones is billed. A zone with several serving routers gets one copy of
+each broadcast, relayed by its routers in turn.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
+from typing import Protocol
 
 import msgspec
 
@@ -23,224 +26,268 @@
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
+    Presence,
     RelayedDatagram,
     SendReport,
     StateDelta,
+    Suspicion,
     UsageReport,
     WorkReport,
 )
+from chicorylead.peer.membership import (
+    HEARTBEAT_INTERVAL_S,
+    SUSPICION_TIMEOUT_S,
+    Membership,
+    Peer,
+)
 
-__all__ = ["Peer", "PeerProtocol"]
+__all__ = ["LocalRouter", "PeerProtocol"]
 
-# Silence is detected after several heartbeats: a caller that tries a dead address
-# loses up to a second.
-HEARTBEAT_MIN_INTERVAL_S = 0.1
-HEARTBEAT_INTERVAL_PER_PEER_S = 0.0125  # bounds the datagram rate of larger fleets
-HEARTBEATS_PER_BEACON = 5  # demand of organisations is measured over seconds
 JITTER = 0.2  # fraction; spreads the sends of routers that start together
-MISSED_HEARTBEATS_LIMIT = 6  # at 3 % loss, a false alarm in 10^9
-SILENCE_TIMEOUT_MIN_S = 0.7  # shorter pauses of a process are normal
-PROBE_INTERVAL_S = 1.0  # a returning router is found within a second
-EVICT_AFTER_S = 120.0  # about the time that replacing a VM takes
+# A process that did not run for so long has not heard its peers either.
+PAUSE_S = 0.4
+HEARTBEATS_PER_BEACON = 4  # demand of organisations is measured over seconds
+HEARTBEATS_PER_EVICTION = 10
+PROBES_PER_HEARTBEAT = 12
+PEERS_PER_PRESENCE = 4
+PEERS_PER_REPLY = 64  # a newcomer learns of the others from several replies
 DELTA_DELAY_PER_PEER_S = 0.001  # batches the sends of a few milliseconds
 USAGE_INTERVAL_S = 0.1  # 1/40 of the default window of shares
+# A router that sends deltas serves callers, even if it is not one that they are told.
+DELTA_SENDER_S = 5.0
 # Per zone: a lost relay costs its zone a third of the broadcasts at most.
 MIN_PEERS_FOR_RELAY = 3
 MAX_DATAGRAM_BYTES = 60_000  # below the UDP limit
 
 
-class _Host:
-    """An IP address at which a router may answer.
+class LocalRouter(Protocol):
+    """What the protocol tells about this router, and where it reports its peers."""
 
-    Attributes:
-        last_seen_at: Event-loop time at which a beacon last came from it or listed it,
-            seconds.
-        last_probed_at: Event-loop time of the last probe, seconds.
-    """
+    def make_presence(self, sequence: int, peers: list[str]) -> Presence:
+        """Return the presence of this router."""
 
-    def __init__(self, last_seen_at: float) -> None:
-        self.last_seen_at = last_seen_at
-        self.last_probed_at = -PROBE_INTERVAL_S
+    def make_beacon(self, presence: Presence) -> Beacon:
+        """Return the state of this router."""
 
+    def end_offsets(self) -> tuple[int, int]:
+        """Return the end offset known to this router of each stream."""
 
-class Peer:
-    """The last known state of another router.
+    def records_age_s(self) -> float:
+        """Return the time since this router's records were known to be current."""
 
-    Attributes:
-        beacon: Its newest beacon.
-        sequence: Sequence number of its newest beacon or heartbeat.
-        end_offsets: End offset known to it of each stream, in the order of `Stream`.
-        last_heard_at: Event-loop time of that datagram, seconds.
-        is_live: Whether it was heard from recently.
-    """
+    def pop_changed_usage(self) -> list[UsageReport]:
+        """Return the usage that changed since the last call."""
 
-    def __init__(self, beacon: Beacon, now: float) -> None:
-        self.beacon = beacon
-        self.sequence = beacon.sequence
-        self.end_offsets = beacon.end_offsets
-        self.last_heard_at = now
-        self.is_live = True
-        self._old_incarnations: set[int] = set()
+    def is_serving(self, peer: Peer) -> bool:
+        """Return whether callers are told to use a peer."""
 
-    def is_newer(self, beacon: Beacon) -> bool:
-        """Return whether a beacon is newer than all before.
+    def has_state(self) -> bool:
+        """Return whether this router's state matters to others."""
 
-        Incarnations are not ordered, as the wall clock of a VM may jump.
-        """
-        if beacon.incarnation == self.beacon.incarnation:
-            return beacon.sequence > self.beacon.sequence
-        return beacon.incarnation not in self._old_incarnations
+    def apply_beacon(self, beacon: Beacon) -> None:
+        """Replace the state of a peer."""
 
-    def apply_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Apply a heartbeat unless it is outdated or of another incarnation."""
-        if heartbeat.incarnation != self.beacon.incarnation:
-            return
-        if heartbeat.sequence > self.sequence:
-            self.sequence = heartbeat.sequence
-            self.end_offsets = heartbeat.end_offsets
-            self.last_heard_at = now
-
-    def apply_beacon(self, beacon: Beacon, now: float) -> None:
-        """Apply a newer beacon."""
-        if beacon.incarnation != self.beacon.incarnation:
-            self._old_incarnations.add(self.beacon.incarnation)
-            self.sequence = 0
-        self.beacon = beacon
-        if beacon.sequence > self.sequence:
-            self.sequence = beacon.sequence
-            self.end_offsets = beacon.end_offsets
-        self.last_heard_at = now
-        self.is_live = True
+    def apply_delta(self, peer: str, delta: StateDelta) -> None:
+        """Apply changes of the state of a live peer."""
+
+    def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Learn from a peer how current the records are."""
+
+    def drop_peer(self, peer: str) -> None:
+        """Remove the state of a lost peer."""
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
-    """Sends this router's state to all peers, and receives theirs.
+    """Sends this router's state to its peers, and receives theirs.
 
     Args:
-        router: Id of this router.
-        zone: Its zone.
         incarnation: Differs at each start.
+        zone: Availability zone of this router.
         address: Local address of the socket; peers use the same port.
         seeds: IP addresses of some routers.
-        make_beacon: Builds a beacon from a sequence number and the IP addresses of
-            live peers.
-        end_offsets: Returns the end offset known to this router of each stream.
-        pop_changed_usage: Returns the usage that changed since its last call.
-        on_beacon: Called with each newer beacon of a peer.
-        on_delta: Called with the id of a live peer and its delta.
-        on_peer_lost: Called with the last beacon of a peer that fell silent.
+        router: This router.
+        clock: Returns the time of the event loop, seconds.
     """
 
     def __init__(
         self,
-        router: str,
-        zone: str,
         incarnation: int,
+        zone: str,
         address: tuple[str, int],
         seeds: tuple[str, ...],
-        make_beacon: Callable[[int, list[str]], Beacon],
-        end_offsets: Callable[[], tuple[int, int]],
-        pop_changed_usage: Callable[[], list[UsageReport]],
-        on_beacon: Callable[[Beacon], None],
-        on_delta: Callable[[str, StateDelta], None],
-        on_peer_lost: Callable[[Beacon], None],
+        router: LocalRouter,
+        clock: Callable[[], float],
         log: EventLog,
         metrics: Metrics,
         rng: Random,
     ) -> None:
-        self._id = router
-        self._zone = zone
         self._incarnation = incarnation
-        self._address = address
-        self._make_beacon = make_beacon
-        self._end_offsets = end_offsets
-        self._pop_changed_usage = pop_changed_usage
-        self._usage_sent_at = -USAGE_INTERVAL_S
-        self._on_beacon = on_beacon
-        self._on_delta = on_delta
-        self._on_peer_lost = on_peer_lost
+        self._zone = zone
+        self._host, self._port = address
+        self._router = router
+        self._clock = clock
         self._log = log
         self._metrics = metrics
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
-        now = self._loop.time()
-        self._seeds = frozenset(seeds)
-        self._hosts = {host: _Host(now) for host in seeds}
-        self._peers: dict[str, Peer] = {}
-        self._by_host: dict[str, Peer] = {}
+        self._members = Membership(self._host, seeds, clock())
         self._sequence = 0
+        self._n_ticks = 0
         self._n_broadcasts = 0
+        self._n_presences = 0
+        self._presence_credit = 0.0
+        self._had_state = False
+        self._usage_sent_at = -USAGE_INTERVAL_S
         self._pending_reports: dict[str, SendReport] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
-            Beacon | Heartbeat | RelayedDatagram | StateDelta
+            Beacon | Heartbeat | Presence | RelayedDatagram | StateDelta | Suspicion
         )
 
     def live(self) -> list[Peer]:
         """Return the peers that were heard from recently."""
-        return [peer for peer in self._peers.values() if peer.is_live]
+        return self._members.live()
 
     def known_hosts(self) -> list[str]:
         """Return the IP addresses at which routers may answer."""
-        return sorted(self._hosts)
+        return self._members.known_hosts()
 
-    @property
-    def heartbeat_interval_s(self) -> float:
-        """Return the mean interval between heartbeats or beacons, seconds."""
-        return max(
-            HEARTBEAT_MIN_INTERVAL_S, HEARTBEAT_INTERVAL_PER_PEER_S * len(self._peers)
-        )
+    def state_peers(self) -> list[Peer]:
+        """Return the peers that are told of this router's state."""
+        now = self._clock()
+        return [
+            peer
+            for peer in self.live()
+            if now - peer.last_delta_at < DELTA_SENDER_S
+            or self._router.is_serving(peer)
+        ]
+
+    # -- life cycle
 
     async def start(self) -> None:
         """Open the socket."""
         await self._loop.create_datagram_endpoint(
-            lambda: self, local_addr=self._address
+            lambda: self, local_addr=(self._host, self._port)
         )
 
     async def stop(self) -> None:
-        """Send a last beacon and close the socket."""
-        self.send_beacon()
+        """Send a last presence and close the socket."""
+        self.announce()
         if self._transport is not None:
             self._transport.close()
 
     async def run(self) -> None:
-        """Send heartbeats and beacons, and expire peers, until cancelled."""
-        n_heartbeats = 0
+        """Send what is due and detect lost peers, until cancelled."""
+        last = self._clock()
         while True:
-            self.expire_peers()
-            if n_heartbeats % HEARTBEATS_PER_BEACON == 0:
-                self.send_beacon()
-            else:
-                self._send_heartbeat()
-            n_heartbeats += 1
+            now = self._clock()
+            if now - last > PAUSE_S:
+                self._members.forgive(now - last)
+                self.announce()
+            last = now
+            self.tick()
             jitter = self._rng.uniform(1 - JITTER, 1 + JITTER)
-            await asyncio.sleep(self.heartbeat_interval_s * jitter)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S * jitter)
+
+    def tick(self) -> None:
+        """Send what is due and detect lost peers; called once per heartbeat."""
+        now = self._clock()
+        self._detect_losses(now)
+        self.send_heartbeats()
+        if self._n_ticks % HEARTBEATS_PER_BEACON == 0:
+            self.send_beacon()
+        if self._n_ticks % HEARTBEATS_PER_EVICTION == 0:
+            self._members.evict(now)
+        self._n_ticks += 1
+        self._send_presences()
+        self._probe(now)
+
+    # -- sending
+
+    def send_heartbeats(self) -> None:
+        """Send a heartbeat to the routers that watch this one."""
+        watchers = self._members.watchers(self._clock())
+        if watchers:
+            self._send_heartbeat(watchers)
+
+    def _send_heartbeat(self, hosts: Iterable[str], wants_reply: bool = False) -> None:
+        self._sequence += 1
+        heartbeat = Heartbeat(
+            self._incarnation,
+            self._sequence,
+            self._router.end_offsets(),
+            min(round(self._router.records_age_s() * 1000), 2**31),
+            wants_reply,
+        )
+        data = self._encoder.encode(heartbeat)
+        for host in hosts:
+            self._send_to(host, data)
 
     def send_beacon(self) -> None:
-        """Send a beacon to live peers, and to other known hosts as a probe."""
-        now = self._loop.time()
-        live_hosts = self._live_hosts()
-        self._sequence += 1
-        beacon = self._make_beacon(self._sequence, sorted(live_hosts))
-        data = self._encoder.encode(beacon)
-        if len(data) > MAX_DATAGRAM_BYTES:
-            self._metrics.count("beacon.too_large")
-            self._log.error("beacon_too_large", n_bytes=len(data))
+        """Send the full state to the peers that use it, if there is any."""
+        has_state = self._router.has_state()
+        if has_state or self._had_state:
+            beacon = self._router.make_beacon(self._make_presence([]))
+            data = self._encoder.encode(beacon)
+            if len(data) > MAX_DATAGRAM_BYTES:
+                self._metrics.count("beacon.too_large")
+                self._log.error("beacon_too_large", n_bytes=len(data))
+                return
+            self._broadcast(data)
+        self._had_state = has_state
+
+    def announce(self) -> None:
+        """Send a presence to all live peers at once."""
+        self._send_presence([peer.presence.host for peer in self.live()])
+
+    def _send_presences(self) -> None:
+        """Send a presence to the peers whose turn it is."""
+        live = self.live()
+        if not live:
             return
-        self._broadcast(data)
-        for address, host in list(self._hosts.items()):
-            if address in live_hosts or address == self._address[0]:
-                continue
-            if now - host.last_probed_at >= PROBE_INTERVAL_S:
-                host.last_probed_at = now
-                self._send_to(address, data)
+        interval_s = self._members.presence_interval_s
+        self._presence_credit += HEARTBEAT_INTERVAL_S * len(live) / interval_s
+        n_due = int(self._presence_credit)
+        self._presence_credit -= n_due
+        if n_due == 0:
+            return
+        hosts = []
+        for _ in range(min(n_due, len(live))):
+            self._n_presences += 1
+            hosts.append(live[self._n_presences % len(live)].presence.host)
+        self._send_presence(hosts, self._sample_hosts(PEERS_PER_PRESENCE))
+
+    def _sample_hosts(self, limit: int) -> list[str]:
+        live = self.live()
+        sample = self._rng.sample(live, min(limit, len(live)))
+        return [peer.presence.host for peer in sample]
+
+    def _probe(self, now: float) -> None:
+        """Send a presence to hosts without a live router."""
+        due = self._members.hosts_to_probe(now, PROBES_PER_HEARTBEAT)
+        if due:
+            self._send_presence(due, wants_reply=True)
+
+    def _send_presence(
+        self, hosts: Iterable[str], peers: Sequence[str] = (), wants_reply: bool = False
+    ) -> None:
+        presence = self._make_presence(list(peers))
+        if wants_reply:
+            presence = msgspec.structs.replace(presence, wants_reply=True)
+        data = self._encoder.encode(presence)
+        for host in hosts:
+            self._send_to(host, data)
+
+    def _make_presence(self, peers: list[str]) -> Presence:
+        self._sequence += 1
+        return self._router.make_presence(self._sequence, peers)
 
     def _broadcast(self, data: bytes) -> None:
-        """Send a datagram to all live peers, via one relay per large remote zone."""
+        """Send a datagram to the serving peers, via one relay per large remote zone."""
         zones: dict[str, list[str]] = {}
-        for peer in self.live():
-            zones.setdefault(peer.beacon.zone, []).append(peer.beacon.host)
+        for peer in self.state_peers():
+            zones.setdefault(peer.presence.zone, []).append(peer.presence.host)
         self._n_broadcasts += 1
         for zone, hosts in zones.items():
             if zone == self._zone or len(hosts) < MIN_PEERS_FOR_RELAY:
@@ -248,32 +295,9 @@
                     self._send_to(host, data)
                 continue
             relay = hosts[self._n_broadcasts % len(hosts)]
-            message = RelayedDatagram(self._address[0], data, is_final=False)
+            message = RelayedDatagram(self._host, data, is_final=False)
             self._send_to(relay, self._encoder.encode(message))
 
-    def _handle_relayed(self, message: RelayedDatagram, sender: str) -> None:
-        """Handle a relayed datagram, and forward it within this router's zone."""
-        peer = self._by_host.get(sender)
-        if peer is None or not peer.is_live or message.origin not in self._by_host:
-            return
-        if not message.is_final:
-            final = RelayedDatagram(message.origin, message.data, is_final=True)
-            data = self._encoder.encode(final)
-            for other in self.live():
-                if other.beacon.zone == self._zone:
-                    self._send_to(other.beacon.host, data)
-        self._handle_datagram(message.data, message.origin)
-
-    def _send_heartbeat(self) -> None:
-        self._sequence += 1
-        heartbeat = Heartbeat(self._incarnation, self._sequence, self._end_offsets())
-        data = self._encoder.encode(heartbeat)
-        for host in self._live_hosts():
-            self._send_to(host, data)
-
-    def _live_hosts(self) -> set[str]:
-        return {peer.beacon.host for peer in self.live()}
-
     def queue_report(self, work: WorkReport, parts: list[tuple[bytes, int]]) -> None:
         """Queue a report of a prompt sent to an upstream for the next delta.
 
@@ -282,7 +306,7 @@
             parts: Ids of the shared parts of the prompt, with their lengths in tokens.
         """
         if not self._pending_reports:
-            delay_s = DELTA_DELAY_PER_PEER_S * len(self._peers)
+            delay_s = DELTA_DELAY_PER_PEER_S * len(self.state_peers())
             self._loop.call_later(delay_s, self.send_delta)
         known = self._pending_reports.get(work.upstream)
         if known is not None:
@@ -290,16 +314,16 @@
         self._pending_reports[work.upstream] = SendReport(work, parts)
 
     def send_delta(self) -> None:
-        """Send the queued reports to all live peers."""
+        """Send the queued reports to the serving peers."""
         if not self._pending_reports:
             return
         reports = list(self._pending_reports.values())
         self._pending_reports.clear()
         usage: list[UsageReport] = []
-        now = self._loop.time()
+        now = self._clock()
         if now - self._usage_sent_at >= USAGE_INTERVAL_S:
             self._usage_sent_at = now
-            usage = self._pop_changed_usage()
+            usage = self._router.pop_changed_usage()
         delta = StateDelta(self._incarnation, reports, usage)
         self._broadcast(self._encoder.encode(delta))
 
@@ -308,7 +332,37 @@
             return
         # The peer detects a failed path by this router's silence.
         with contextlib.suppress(OSError):
-            self._transport.sendto(data, (host, self._address[1]))
+            self._transport.sendto(data, (host, self._port))
+
+    # -- detection of losses
+
+    def _detect_losses(self, now: float) -> None:
+        for peer in self._members.suspects():
+            if now - peer.suspected_at > SUSPICION_TIMEOUT_S:
+                self._handle_lost(peer, now)
+            else:
+                self._send_heartbeat([peer.presence.host], wants_reply=True)
+        is_isolated = self._members.is_isolated(now)
+        for peer in self._members.silent(now):
+            self._suspect(peer, now)
+            if is_isolated:
+                continue
+            suspicion = Suspicion(peer.presence.host, peer.presence.incarnation)
+            data = self._encoder.encode(suspicion)
+            for other in self.live():
+                if other is not peer:
+                    self._send_to(other.presence.host, data)
+
+    def _suspect(self, peer: Peer, now: float) -> None:
+        peer.suspected_at = now
+        self._send_heartbeat([peer.presence.host], wants_reply=True)
+
+    def _handle_lost(self, peer: Peer, now: float) -> None:
+        self._members.mark_lost(peer)
+        self._log.warning(
+            "peer_silent", peer=peer.presence.id, heard_s=now - peer.last_heard_at
+        )
+        self._router.drop_peer(peer.presence.id)
 
     # -- transport
 
@@ -320,6 +374,10 @@
         """Handle a datagram from a peer."""
         self._handle_datagram(data, addr[0])
 
+    def error_received(self, exc: Exception) -> None:
+        """Count a failed send; a lost peer is detected by its silence."""
+        self._metrics.count("beacon.send_errors")
+
     def _handle_datagram(self, data: bytes, origin: str) -> None:
         try:
             message = self._decoder.decode(data)
@@ -329,78 +387,83 @@
             return
         match message:
             case Beacon():
-                self._handle_beacon(message, origin)
+                if self._handle_presence(message.presence, origin):
+                    self._router.apply_beacon(message)
+            case Presence():
+                self._handle_presence(message, origin)
             case Heartbeat():
-                if (peer := self._by_host.get(origin)) is not None:
-                    peer.apply_heartbeat(message, self._loop.time())
+                self._handle_heartbeat(message, origin)
             case RelayedDatagram():
                 self._handle_relayed(message, origin)
             case StateDelta():
                 self._handle_delta(message, origin)
-
-    def _handle_delta(self, delta: StateDelta, sender: str) -> None:
-        peer = self._by_host.get(sender)
-        if peer is None or not peer.is_live:
+            case Suspicion():
+                self._handle_suspicion(message, origin)
+
+    def _handle_presence(self, presence: Presence, sender: str) -> bool:
+        """Apply a presence; return whether it is newer than all before."""
+        if presence.host != sender or sender == self._host:
+            return False
+        known = self._members.by_id(presence.id)
+        is_newer = known is None or known.is_newer(presence)
+        if is_newer:
+            is_restarted = (
+                known is not None
+                and known.is_live
+                and known.presence.incarnation != presence.incarnation
+            )
+            if is_restarted:
+                self._router.drop_peer(presence.id)
+            if self._members.apply_presence(presence, self._clock()):
+                self._log.info("peer_heard", peer=presence.id, host=sender)
+                if not presence.wants_reply:
+                    self._send_presence([sender])
+        if presence.wants_reply:
+            self._send_presence([sender], self._sample_hosts(PEERS_PER_REPLY))
+        return is_newer
+
+    def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
+        peer = self._members.by_host(sender)
+        if peer is None or not peer.apply_heartbeat(heartbeat, self._clock()):
             return
-        if peer.beacon.incarnation == delta.incarnation:
-            self._on_delta(peer.beacon.id, delta)
-
-    def _handle_beacon(self, beacon: Beacon, sender: str) -> None:
-        if beacon.host != sender or beacon.host == self._address[0]:
+        if not peer.is_live:
+            self._members.mark_live(peer)
+            self._log.info("peer_heard", peer=peer.presence.id, host=sender)
+        self._router.apply_heartbeat(heartbeat)
+        if heartbeat.wants_reply:
+            self._send_heartbeat([sender])
+
+    def _handle_suspicion(self, suspicion: Suspicion, sender: str) -> None:
+        """Probe a router that a peer suspects to be lost."""
+        teller = self._members.by_host(sender)
+        peer = self._members.by_host(suspicion.host)
+        if teller is None or not teller.is_live or peer is None or not peer.is_live:
             return
-        known = self._peers.get(beacon.id)
-        if known is not None and not known.is_newer(beacon):
+        if peer.presence.incarnation != suspicion.incarnation:
             return
-        self._apply_beacon(beacon, known)
+        now = self._clock()
+        is_silent = now - peer.last_heard_at > 2 * HEARTBEAT_INTERVAL_S
+        if peer.suspected_at is None and is_silent:
+            self._suspect(peer, now)
 
-    def error_received(self, exc: Exception) -> None:
-        """Count a failed send; a lost peer is detected by its silence."""
-        self._metrics.count("beacon.send_errors")
+    def _handle_relayed(self, message: RelayedDatagram, sender: str) -> None:
+        """Handle a relayed datagram, and forward it within this router's zone."""
+        peer = self._members.by_host(sender)
+        origin = self._members.by_host(message.origin)
+        if peer is None or not peer.is_live or origin is None:
+            return
+        if not message.is_final:
+            final = RelayedDatagram(message.origin, message.data, is_final=True)
+            data = self._encoder.encode(final)
+            for other in self.state_peers():
+                if other.presence.zone == self._zone:
+                    self._send_to(other.presence.host, data)
+        self._handle_datagram(message.data, message.origin)
 
-    def _apply_beacon(self, beacon: Beacon, known: Peer | None) -> None:
-        now = self._loop.time()
-        if known is None or not known.is_live:
-            self._log.info("peer_heard", peer=beacon.id, host=beacon.host)
-        if known is None:
-            known = self._peers[beacon.id] = Peer(beacon, now)
-        else:
-            if beacon.host != known.beacon.host:
-                self._by_host.pop(known.beacon.host, None)
-            known.apply_beacon(beacon, now)
-        self._by_host[beacon.host] = known
-        for host in (beacon.host, *beacon.peers):
-            self._hosts.setdefault(host, _Host(now)).last_seen_at = now
-        self._on_beacon(beacon)
-        if self._address[0] not in beacon.peers:
-            self._send_beacon_to(beacon.host)
-
-    def _send_beacon_to(self, address: str) -> None:
-        """Send a beacon directly to a router that does not list this one as live."""
-        now = self._loop.time()
-        host = self._hosts[address]
-        if now - host.last_probed_at < PROBE_INTERVAL_S:
+    def _handle_delta(self, delta: StateDelta, sender: str) -> None:
+        peer = self._members.by_host(sender)
+        if peer is None or not peer.is_live:
             return
-        host.last_probed_at = now
-        self._sequence += 1
-        beacon = self._make_beacon(self._sequence, sorted(self._live_hosts()))
-        self._send_to(address, self._encoder.encode(beacon))
-
-    def expire_peers(self) -> None:
-        """Mark silent peers as lost, and evict peers and hosts unseen for long."""
-        now = self._loop.time()
-        timeout_s = max(
-            SILENCE_TIMEOUT_MIN_S, MISSED_HEARTBEATS_LIMIT * self.heartbeat_interval_s
-        )
-        for peer_id, peer in list(self._peers.items()):
-            if peer.is_live and now - peer.last_heard_at > timeout_s:
-                peer.is_live = False
-                self._log.warning(
-                    "peer_silent", peer=peer_id, heard_s=now - peer.last_heard_at
-                )
-                self._on_peer_lost(peer.beacon)
-            elif not peer.is_live and now - peer.last_heard_at > EVICT_AFTER_S:
-                del self._peers[peer_id]
-                self._by_host.pop(peer.beacon.host, None)
-        for address, host in list(self._hosts.items()):
-            if now - host.last_seen_at > EVICT_AFTER_S and address not in self._seeds:
-                del self._hosts[address]
+        if peer.presence.incarnation == delta.incarnation:
+            peer.last_delta_at = self._clock()
+            self._router.apply_delta(peer.presence.id, delta)
--- a/src/chicorylead/platform/settings_file.py
+++ b/src/chicorylead/platform/settings_file.py
@@ -43,6 +43,12 @@
     address: str
 
 
+class _Limits(_Camel, frozen=True):
+    # Fraction of a core, and speed of that core relative to a usual one.
+    cpu_share: Annotated[float, Meta(gt=0)] = 1.0
+    cores: Annotated[float, Meta(gt=0)] = 1.0
+
+
 class _File(_Camel, frozen=True):
     node_name: Annotated[str, Meta(min_length=1)]
     ip: str
@@ -54,6 +60,7 @@
     seeds: list[str]
     platform: _Store
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def settings_path() -> Path:
@@ -106,6 +113,7 @@
         metrics=(file.ip, first_port),
         seeds=tuple(_address(seed)[0] for seed in file.seeds),
         store=_address(file.platform.address),
+        cores=file.limits.cpu_share * file.limits.cores,
         bounds=Bounds(
             shutdown_s=file.bounds.grace_s,
             retry_ratio=file.bounds.retry_ratio,
--- a/src/chicorylead/traffic/stream.py
+++ b/src/chicorylead/traffic/stream.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 __all__ = [
+    "PeerPage",
     "RecordStream",
     "StoreUnavailable",
     "Stream",
@@ -42,6 +43,21 @@
     end: int
 
 
+class PeerPage(Struct, frozen=True, array_like=True):
+    """Records that a router supplies to a peer.
+
+    Attributes:
+        end: Offset up to which they are complete.
+        is_snapshot: Whether keys that are missing were removed.
+        store_up_s: Time for which the store has been answering, seconds.
+    """
+
+    records: list[StreamRecord]
+    end: int
+    is_snapshot: bool
+    store_up_s: float
+
+
 class StoreUnavailable(Exception):
     """The store gave no usable answer: none, an error status or malformed data."""
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -17,8 +17,17 @@
 from chicorylead.gateway.settings import Bounds, GatewaySettings
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RouterId, ZoneName
+from chicorylead.peer.datagram import (
+    Beacon,
+    Heartbeat,
+    Presence,
+    StateDelta,
+    UsageReport,
+)
+from chicorylead.peer.membership import Peer
 
 __all__ = [
+    "FakeRouter",
     "FakeStore",
     "FakeUpstream",
     "ReceivedRequest",
@@ -27,6 +36,7 @@
     "registry_entry",
     "free_ports",
     "make_gateway",
+    "presence_of",
     "encode_request",
     "sealed_response",
 ]
@@ -311,3 +321,80 @@
     except asyncio.IncompleteReadError:
         return status, headers, body, False
     return status, headers, body, True
+
+
+class FakeRouter:
+    """A `LocalRouter` that records what it is told of its peers.
+
+    Attributes:
+        beacons: Beacons of peers.
+        deltas: Ids of peers, with their deltas.
+        heartbeats: Heartbeats of peers.
+        dropped: Ids of lost peers.
+        serving: Ids of the routers that callers are told to use; None for all.
+        has_reports: Whether this router has state to send.
+        presence: Its presence, but for the sequence number and the peers.
+    """
+
+    def __init__(self, presence: Presence) -> None:
+        self.presence = presence
+        self.beacons: list[Beacon] = []
+        self.deltas: list[tuple[str, StateDelta]] = []
+        self.heartbeats: list[Heartbeat] = []
+        self.dropped: list[str] = []
+        self.serving: set[str] | None = None
+        self.has_reports = True
+
+    def make_presence(self, sequence: int, peers: list[str]) -> Presence:
+        return msgspec.structs.replace(self.presence, sequence=sequence, peers=peers)
+
+    def make_beacon(self, presence: Presence) -> Beacon:
+        return Beacon(presence, [], [])
+
+    def end_offsets(self) -> tuple[int, int]:
+        return self.presence.end_offsets
+
+    def records_age_s(self) -> float:
+        return 0.0
+
+    def pop_changed_usage(self) -> list[UsageReport]:
+        return [UsageReport("engines", "o", 20, 10)]
+
+    def is_serving(self, peer: Peer) -> bool:
+        return self.serving is None or peer.presence.id in self.serving
+
+    def has_state(self) -> bool:
+        return self.has_reports
+
+    def apply_beacon(self, beacon: Beacon) -> None:
+        self.beacons.append(beacon)
+
+    def apply_delta(self, peer: str, delta: StateDelta) -> None:
+        self.deltas.append((peer, delta))
+
+    def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self.heartbeats.append(heartbeat)
+
+    def drop_peer(self, peer: str) -> None:
+        self.dropped.append(peer)
+
+
+def presence_of(
+    host: str, zone: str = "a", incarnation: int = 1, sequence: int = 1, **fields
+) -> Presence:
+    """Return the presence of a router whose id is its IP address."""
+    presence = Presence(
+        id=host,
+        host=host,
+        incarnation=incarnation,
+        sequence=sequence,
+        zone=zone,
+        callers=f"{host}:80",
+        control=f"{host}:81",
+        cores=1.0,
+        is_ready=True,
+        requests_per_s=0.0,
+        end_offsets=(0, 0),
+        peers=[],
+    )
+    return msgspec.structs.replace(presence, **fields)
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -151,6 +151,8 @@
         Stream.UPSTREAMS,
         seen.append,
         lambda records: None,
+        lambda: True,
+        lambda: None,
         EventLog(),
         Metrics(),
         Random(1),
