Repeat announcements and suspicions, as any datagram may be lost

Cause: at 1% loss, the readiness that a stopping router takes back did not reach all of 300 peers, which sent callers to it until its next presence (30 s there); and a router that missed the one notice of a suspicion kept a lost peer for 21 s (seen in the cut-off test when its random sequence changed).

Change: announcements are sent three times, a heartbeat apart; each watcher of a lost router tells of it once more when its own probes stay unanswered.

--- a/src/chicorylead/peer/membership.py
+++ b/src/chicorylead/peer/membership.py
@@ -196,6 +196,10 @@
         newest = max((peer.last_heard_at for peer in live), default=now)
         return now - newest > ISOLATION_TIMEOUT_S
 
+    def watches(self, peer: Peer) -> bool:
+        """Return whether a peer sends its heartbeats to this router."""
+        return peer.presence.host in self._watched_since
+
     def silent(self, now: float) -> list[Peer]:
         """Return the live peers that are to be suspected."""
         if self.is_isolated(now):
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -48,6 +48,9 @@
 PAUSE_S = 0.4
 HEARTBEATS_PER_BEACON = 4  # demand of organisations is measured over seconds
 HEARTBEATS_PER_EVICTION = 10
+# Of each announcement: until its turn comes, a peer that misses it sends callers to a
+# router that is about to stop.
+N_ANNOUNCEMENTS = 3
 PROBES_PER_HEARTBEAT = 12
 PEERS_PER_PRESENCE = 4
 PEERS_PER_REPLY = 64  # a newcomer learns of the others from several replies
@@ -137,6 +140,7 @@
         self._n_broadcasts = 0
         self._n_presences = 0
         self._presence_credit = 0.0
+        self._n_announcements_left = 0
         self._had_state = False
         self._usage_sent_at = -USAGE_INTERVAL_S
         self._pending_reports: dict[str, SendReport] = {}
@@ -200,6 +204,7 @@
         if self._n_ticks % HEARTBEATS_PER_EVICTION == 0:
             self._members.evict(now)
         self._n_ticks += 1
+        self._repeat_announcement()
         self._send_presences()
         self._probe(now)
 
@@ -238,8 +243,14 @@
         self._had_state = has_state
 
     def announce(self) -> None:
-        """Send a presence to all live peers at once."""
-        self._send_presence([peer.presence.host for peer in self.live()])
+        """Send a presence to all live peers at once, and again some times."""
+        self._n_announcements_left = N_ANNOUNCEMENTS
+        self._repeat_announcement()
+
+    def _repeat_announcement(self) -> None:
+        if self._n_announcements_left > 0:
+            self._n_announcements_left -= 1
+            self._send_presence([peer.presence.host for peer in self.live()])
 
     def _send_presences(self) -> None:
         """Send a presence to the peers whose turn it is."""
@@ -337,21 +348,27 @@
     # -- detection of losses
 
     def _detect_losses(self, now: float) -> None:
+        is_isolated = self._members.is_isolated(now)
         for peer in self._members.suspects():
-            if now - peer.suspected_at > SUSPICION_TIMEOUT_S:
-                self._handle_lost(peer, now)
-            else:
+            if now - peer.suspected_at <= SUSPICION_TIMEOUT_S:
                 self._send_heartbeat([peer.presence.host], wants_reply=True)
-        is_isolated = self._members.is_isolated(now)
+                continue
+            # Each of its watchers tells once more, as a first notice may be lost.
+            if self._members.watches(peer) and not is_isolated:
+                self._tell_suspicion(peer)
+            self._handle_lost(peer, now)
         for peer in self._members.silent(now):
             self._suspect(peer, now)
-            if is_isolated:
-                continue
-            suspicion = Suspicion(peer.presence.host, peer.presence.incarnation)
-            data = self._encoder.encode(suspicion)
-            for other in self.live():
-                if other is not peer:
-                    self._send_to(other.presence.host, data)
+            if not is_isolated:
+                self._tell_suspicion(peer)
+
+    def _tell_suspicion(self, peer: Peer) -> None:
+        """Ask all other routers to check whether a peer is lost."""
+        suspicion = Suspicion(peer.presence.host, peer.presence.incarnation)
+        data = self._encoder.encode(suspicion)
+        for other in self.live():
+            if other is not peer:
+                self._send_to(other.presence.host, data)
 
     def _suspect(self, peer: Peer, now: float) -> None:
         peer.suspected_at = now
--- a/tests/gateway/test_fleet_sizes.py
+++ b/tests/gateway/test_fleet_sizes.py
@@ -223,6 +223,27 @@
     _run(check)
 
 
+@pytest.mark.parametrize("n_routers", (30, 300))
+def test_a_router_that_stops_is_withdrawn_from_all_views_despite_losses(n_routers):
+    def check() -> None:
+        fleet = _Fleet(n_routers)
+        fleet.introduce()
+        fleet.run(0.5)
+        host = sorted(fleet.routers)[0]
+        router = fleet.routers[host]
+        router.presence = msgspec.structs.replace(router.presence, is_ready=False)
+        fleet.protocols[host].announce()
+        fleet.run(0.5)
+        seen = [
+            protocol._members.by_host(host).presence.is_ready
+            for other, protocol in fleet.protocols.items()
+            if other != host
+        ]
+        assert not any(seen)
+
+    _run(check)
+
+
 @pytest.mark.parametrize("n_routers", (30, 100))
 def test_reports_go_to_serving_routers_only(n_routers):
     def check() -> None:
