End every gateway that the soak has started

A cancelled start lost its process too.

Change: a router that runs or is being started is not started again, a start is not cancelled half-way, and all processes are kept, killed and awaited at the end.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -39,6 +39,10 @@
         self._path = folder / f"router-{number}.json"
         self._log = (folder / f"router-{number}.log").open("ab")
         self._process: asyncio.subprocess.Process | None = None
+        # All that were started: faults overlap, and a task that starts one may be
+        # cancelled meanwhile.
+        self._processes: list[asyncio.subprocess.Process] = []
+        self._spawning: asyncio.Task[None] | None = None
 
     def write_settings(self, store: str, peer_port: int, control_port: int) -> None:
         """Write the settings in the platform's form; only `frontend` ports differ."""
@@ -62,7 +66,14 @@
         self._path.write_text(json.dumps(settings))
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process unless it runs or is being started."""
+        if self._spawning is None or self._spawning.done():
+            if self._process is not None and self._process.returncode is None:
+                return
+            self._spawning = asyncio.create_task(self._spawn())
+        await asyncio.shield(self._spawning)
+
+    async def _spawn(self) -> None:
         command = [sys.executable, "-m", "chicorylead", "gateway"]
         self._process = await asyncio.create_subprocess_exec(
             *command,
@@ -72,6 +83,7 @@
             stderr=self._log,
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
+        self._processes.append(self._process)
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it still runs."""
@@ -88,11 +100,14 @@
         return True
 
     async def close(self) -> None:
-        """Kill the process, also when it is stopped, and close its log."""
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        if self._process is not None:
-            await self._process.wait()
+        """Kill all processes, also stopped ones, and close the log."""
+        if self._spawning is not None:
+            await self._spawning
+        for process in self._processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            await process.wait()
         self._log.close()
 
 
