--- a/tests/gateway/test_adapter.py
+++ b/tests/gateway/test_adapter.py
@@ -27,7 +27,7 @@
     },
     "portRange": [7400, 7415],
     "seeds": ["10.0.0.2:3"],
-    "limits": {"memoryMb": 200, "maxFds": 6000},
+    "limits": {"memoryMb": 200, "maxFds": 6000, "cpuShare": 0.5, "cores": 3},
     "platform": {"address": "10.9.0.1:5"},
     "bounds": {"graceS": 9, "retryWindowS": 12, "ttl_max_s": 4},
     "unknown": {"field": 1},
@@ -43,11 +43,17 @@
     assert cfg.bounds.shutdown_s == 9.0
     assert cfg.bounds.retry_window_s == 12.0
     assert cfg.bounds.address_lifetime_s == 4.0
+    assert cfg.cores == 1.5
 
 
 @pytest.mark.parametrize(
     "change",
-    [{"portRange": [2, 1]}, {"platform": {"address": "x"}}, {"nodeName": ""}],
+    [
+        {"portRange": [2, 1]},
+        {"platform": {"address": "x"}},
+        {"nodeName": ""},
+        {"limits": {"cpuShare": 0}},
+    ],
 )
 def test_invalid_settings_raise_errors(change):
     with pytest.raises((ValueError, msgspec.ValidationError)):
