--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -29,7 +29,7 @@
 READ_PAUSE_S = 0.25  # batches records; 1/8 of the time in which a change must apply
 RETRY_MIN_S = 0.1  # several retries within the time in which a change must apply
 RETRY_MAX_S = 0.6  # a recovered store is noticed well within 2 s
-STANDBY_CHECK_S = 0.1
+STANDBY_CHECK_S = 0.1  # a twelfth of the age at which this router reads the store
 
 OnRecord = Callable[[StreamRecord], None]
 OnSnapshot = Callable[[list[StreamRecord]], None]
