--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_serving_routers.py
@@ -130,3 +130,13 @@
     after = set(serving.addresses())
     assert named - after == {lost.presence.callers}
     assert len(after - named) == 1
+
+
+def test_routers_that_are_not_ready_are_not_named():
+    serving, world = _serving(n_peers=3, n_zones=1)
+    world.peers[0].presence = presence_of("10.0.0.0", "z0", is_ready=False)
+    assert sorted(serving.addresses()) == ["10.0.0.1:80", "10.0.0.2:80"]
+    assert not serving.is_own_serving()
+    serving.is_ready = True
+    serving.handle_change()
+    assert serving.is_own_serving()
