Tell which way a configuration came; search for a late one, not reproduced

Callers of the first two sites are said to have seen a confirmed change that was not in force in time.

Cause: none found. The line configuration_in_force now has the source, the time for which a peer was known to have more, and the age of the records. The test fails without the fields. No logic is changed.

--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -30,6 +30,7 @@
 RETRY_MIN_S = 0.1  # several retries within the time in which a change must apply
 RETRY_MAX_S = 0.6  # a recovered store is noticed well within 2 s
 STANDBY_CHECK_S = 0.1  # a twelfth of the age at which this router reads the store
+STORE_SOURCE = "store"
 
 OnRecord = Callable[[StreamRecord], None]
 OnSnapshot = Callable[[list[StreamRecord]], None]
@@ -53,6 +54,7 @@
             answered.
         connected_at: Event-loop time since which the store has been answering this
             router or the peer that supplies the records, seconds.
+        source: Where the last records came from: the store, or the id of a peer.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.is_complete = False
         self.is_connected = False
         self.connected_at = 0.0
+        self.source = STORE_SOURCE
         self._retry_s = RETRY_MIN_S
 
     def page_since(self, start: int) -> PeerPage:
@@ -112,6 +115,7 @@
                 if needs_snapshot:
                     page = await self._store.newest(self.stream)
                     self._mark_connected()
+                    self.source = STORE_SOURCE
                     self._apply_snapshot(page)
                     needs_snapshot = False
                     continue
@@ -120,6 +124,7 @@
                 wait_s = LONG_POLL_S if self.is_connected else 0.0
                 page = await self._store.read(self.stream, self.end, wait_s)
                 self._mark_connected()
+                self.source = STORE_SOURCE
                 self.apply_page(page)
                 if page.records:
                     await asyncio.sleep(READ_PAUSE_S)
@@ -150,6 +155,7 @@
         """Apply the records of a peer."""
         if not self.is_connected:
             self.connected_at = self._clock() - page.store_up_s
+        self.source = peer
         records = StreamPage(page.records, page.end)
         n_new = self.apply_page(records)
         if page.is_snapshot:
--- a/src/chicorylead/gateway/peer_records.py
+++ b/src/chicorylead/gateway/peer_records.py
@@ -58,6 +58,11 @@
         """Return the HTTP routes for peers."""
         return [Route(_PATH, self._serve)]
 
+    def behind_s(self, stream: Stream) -> float:
+        """Return for how long a peer is known to have had more records, seconds."""
+        since = self._behind_since.get(stream)
+        return 0.0 if since is None else self._clock() - since
+
     async def close(self) -> None:
         """Close connections to peers."""
         await self._client.close()
--- a/tests/gateway/test_log_lines.py
+++ b/tests/gateway/test_log_lines.py
@@ -1,5 +1,6 @@
 """Log lines of requests, also while lines are dropped."""
 
+import asyncio
 import os
 from collections.abc import Iterator
 
@@ -8,8 +9,9 @@
 
 from chicorylead import log_output
 from chicorylead.log_output import LogOutput
-from tests.gateway.fakes import KEY
+from tests.gateway.fakes import KEY, configuration
 from tests.gateway.test_gateway import GatewayHarness, _reset, _run_check, _serve, _shed
+from tests.gateway.test_peers import GatewayPair, _wait_until
 
 
 class _LogCapture:
@@ -76,3 +78,31 @@
         assert KEY not in text and unknown not in text
 
     _run_check([_serve, _reset], check)
+
+
+def test_the_line_of_a_configuration_tells_by_which_path_it_came(log_capture):
+    async def main() -> None:
+        async with GatewayPair(second_store_is_down=True) as pair:
+
+            async def has_status(status: int) -> bool:
+                return await pair.look_up_status(1) == status
+
+            await _wait_until(lambda: has_status(200))
+            log_capture.open()
+            newer = configuration(version=2)
+            newer["tenants"] = [{"name": "north", "apiKeys": ["another"]}]
+            pair.store.put("keyed.op", "config", newer)
+            await _wait_until(lambda: has_status(401))
+
+    asyncio.run(main())
+    lines = [
+        dict(pair.split("=", 1) for pair in line.split())
+        for line in log_capture.read().splitlines()
+        if "event=configuration_in_force" in line
+    ]
+    assert {line["router"]: line["source"] for line in lines} == {
+        "router-2": "store",
+        "router-3": "router-2",
+    }
+    assert all(float(line["behind_s"]) < 2.0 for line in lines)
+    assert all(float(line["records_age_s"]) < 2.0 for line in lines)
