--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -20,6 +20,7 @@
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
+from chicorylead.outcome.answered_parts import AnsweredParts
 from chicorylead.outcome.poison import PoisonList, fingerprint_of
 from chicorylead.traffic.model import RepeatPolicy
 from chicorylead.traffic.request import ForwardRequest
@@ -95,6 +96,7 @@
         self._clock = asyncio.get_running_loop().time
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._probes: set[asyncio.Task[None]] = set()
+        self._answered_parts = AnsweredParts()
 
     def accept(self, req: ForwardRequest) -> Accepted:
         """Admit a request and select its first upstream, without waiting.
@@ -195,6 +197,7 @@
             first_s,
             event_s,
             self._on_sent,
+            lambda: self._answered_parts.record(req.shared_parts),
         )
         progress.n_sends += 1
         started = self._clock()
@@ -213,6 +216,8 @@
                     await self._forward_rejected(outcome, reply)
                     return True
             case Broken(failure=failure):
+                if failure.kind is FailureKind.BROKEN:
+                    self._probe_crash(placement.upstream, req, progress, sender)
                 self._handle_broken(req, placement.upstream, progress, failure, reply)
         progress.excluded.add(placement.upstream.id)
         return False
@@ -261,8 +266,6 @@
         progress.events.restart()
         if upstream.record_failure():
             self._record_ejection(upstream, failure.detail)
-        if failure.kind is FailureKind.BROKEN:
-            self._probe_crash(upstream, progress.fingerprint)
         if self._may_run_again(req, progress):
             return
         if reply.is_started:
@@ -318,13 +321,27 @@
             reason=reason,
         )
 
-    def _probe_crash(self, upstream: LiveUpstream, fingerprint: str) -> None:
+    def _probe_crash(
+        self,
+        upstream: LiveUpstream,
+        req: ForwardRequest,
+        progress: _Progress,
+        sender: Sender,
+    ) -> None:
         """Probe in the background whether an upstream crashed under a request."""
-        task = asyncio.ensure_future(self._record_crash(upstream, fingerprint))
+        task = asyncio.ensure_future(
+            self._record_crash(upstream, req, progress.fingerprint, sender)
+        )
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
 
-    async def _record_crash(self, upstream: LiveUpstream, fingerprint: str) -> None:
+    async def _record_crash(
+        self,
+        upstream: LiveUpstream,
+        req: ForwardRequest,
+        fingerprint: str,
+        sender: Sender,
+    ) -> None:
         entry = upstream.entry
         try:
             conn = await open_connection(
@@ -336,10 +353,22 @@
             self._log.warning(
                 "upstream_crashed",
                 upstream=upstream.id,
+                born_ms=entry.born_ms,
+                request=req.id,
                 fingerprint=fingerprint,
                 n_crashes=len(notice.crashes),
+                first_event_s=sender.first_event_s,
+                parts=self._part_ages(req),
             )
 
+    def _part_ages(self, req: ForwardRequest) -> str:
+        """Format the shared parts, each with the time since it was last answered."""
+        ages = ((part, self._answered_parts.age_s(part)) for part in req.shared_parts)
+        return ",".join(
+            f"{part.hex()}:{'never' if age_s is None else format(age_s, '.3f')}"
+            for part, age_s in ages
+        )
+
     def _log_send(
         self,
         req: ForwardRequest,
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -22,6 +22,9 @@
 # Longer than any pause that operators allow between events, and shorter than the two
 # seconds after which callers leave.
 EVENT_TIMEOUT_S = 1.5
+# A prompt crashes its engine as the answer begins; a crash this much later has another
+# cause. A few steps of an engine.
+ANSWER_BEGUN_S = 0.1
 MAX_BODY_BYTES = 4_194_304  # largest body allowed in either direction
 
 
@@ -37,6 +40,7 @@
         first_timeout_s: Timeout for the first part of the answer, seconds.
         event_timeout_s: Timeout between parts, seconds.
         on_sent: Called with an engine and the parts of a prompt sent to it.
+        on_answering: Called once when the upstream is past the begin of its answer.
 
     Attributes:
         first_event_s: Time from sending to the first event, seconds.
@@ -54,6 +58,7 @@
         first_timeout_s: float,
         event_timeout_s: float,
         on_sent: OnSent,
+        on_answering: Callable[[], None],
     ) -> None:
         self._req = req
         self._upstream = placement.upstream
@@ -65,6 +70,8 @@
         self._first_timeout_s = first_timeout_s
         self._event_timeout_s = event_timeout_s
         self._on_sent = on_sent
+        self._on_answering = on_answering
+        self._is_answering = False
         self._clock = asyncio.get_running_loop().time
         self._sent_at = 0.0
         self.first_event_s: float | None = None
@@ -155,6 +162,7 @@
             return Rejected(head.status, head.headers, body)
         if head.is_success:
             self._response_times.record_answer(self._clock() - self._sent_at)
+            self._record_answering()
         self._upstream.record_answer(head.load)
         length = (b"content-length", str(len(body)).encode())
         await self._reply.send_response(head.status, (*head.headers, length), body)
@@ -185,6 +193,8 @@
                 self._record_first_event(head)
             else:
                 self.longest_pause_s = max(self.longest_pause_s, now - last_at)
+                if now - self._sent_at - self.first_event_s > ANSWER_BEGUN_S:
+                    self._record_answering()
             last_at = now
             if not self._reply.is_started:
                 await self._reply.start(head.status, head.headers)
@@ -193,10 +203,16 @@
             raise Failure(
                 FailureKind.BROKEN, "stream ended before an event was complete"
             )
+        self._record_answering()
         await self._reply.finish()
         self._upstream.record_answer(None)
         return Served(head.status)
 
+    def _record_answering(self) -> None:
+        if not self._is_answering:
+            self._is_answering = True
+            self._on_answering()
+
     def _record_first_event(self, head: AnswerHead) -> None:
         self.first_event_s = self._clock() - self._sent_at
         expected_s = self._placement.wait_s - self._response_times.first_event_s
--- a/src/chicorylead/traffic/request.py
+++ b/src/chicorylead/traffic/request.py
@@ -37,6 +37,11 @@
     expected_output_tokens: int | None
     parts: tuple[PromptPart, ...]
 
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the ids of the parts that other prompts may hold as well."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class CallerHead:
@@ -86,6 +91,11 @@
         """Return the id that the caller gave to this attempt."""
         return self.head.request_id
 
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the ids of the shared parts of its prompt, if it has one."""
+        return () if self.head.prompt is None else self.head.prompt.shared_parts
+
     @property
     def may_repeat(self) -> bool:
         """Return whether the request may safely run twice."""
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -127,7 +127,7 @@
         log,
         Metrics(),
     )
-    forwarder._probe_crash = lambda upstream, fingerprint: None
+    forwarder._probe_crash = lambda *_: None
     _ScriptedSender.behaviour = behaviour
     req = _request(repeat, max_attempts, loop.time())
     try:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -104,6 +104,16 @@
     )
 
 
+def _crash(upstream: FakeUpstream) -> Callable:
+    """Return a script that ends an upstream: it accepts no further connection."""
+
+    async def script(got: ReceivedRequest, writer: Writer) -> None:
+        await upstream.stop()
+        writer.transport.abort()
+
+    return script
+
+
 async def _hang(got: ReceivedRequest, writer: Writer) -> None:
     await asyncio.sleep(30)
 
--- a/tests/gateway/test_log_lines.py
+++ b/tests/gateway/test_log_lines.py
@@ -10,7 +10,14 @@
 from chicorylead import log_output
 from chicorylead.log_output import LogOutput
 from tests.gateway.fakes import KEY, configuration
-from tests.gateway.test_gateway import GatewayHarness, _reset, _run_check, _serve, _shed
+from tests.gateway.test_gateway import (
+    GatewayHarness,
+    _crash,
+    _reset,
+    _run_check,
+    _serve,
+    _shed,
+)
 from tests.gateway.test_peers import GatewayPair, _wait_until
 
 
@@ -106,3 +113,28 @@
     }
     assert all(float(line["behind_s"]) < 2.0 for line in lines)
     assert all(float(line["records_age_s"]) < 2.0 for line in lines)
+
+
+def test_the_line_of_a_crash_names_the_parts_and_when_they_were_answered(log_capture):
+    async def check(harness: GatewayHarness) -> None:
+        log_capture.open()
+        counts = {"chicorylead_token_counts": "300,20"}
+        await harness.call("/look/a", chicorylead_prefix_hash="aa:100,01:200", **counts)
+        harness.upstreams[0].script = _crash(harness.upstreams[0])
+        await harness.call(
+            "/publish/a",
+            method="POST",
+            body=b"x",
+            chicorylead_prefix_hash="aa:100,bb:100,02:100",
+            **counts,
+        )
+        await asyncio.sleep(0.1)
+        (line,) = [
+            line
+            for line in log_capture.read().splitlines()
+            if "event=upstream_crashed" in line
+        ]
+        assert "request=req-1" in line and "first_event_s=None" in line
+        assert "parts=aa:0." in line and ",bb:never" in line
+
+    _run_check([_serve], check)
