Keep prompts with a part that crashes engines away from them

Cause: what a crash teaches was kept by a digest of the whole request, and no two such requests are alike; every request on the engine was held to account, and the request itself was sent to a second engine within 2 ms, before any router knew. A key that is too narrow, with a blame that is too wide.

Change: PromptQuarantine keeps crashes by the shared parts of prompts. A crash puts in doubt the parts of requests that had not begun their answer, but for parts that engines answer. Of the requests with such a part one at a time runs as a trial, where a crash ends few requests; those in flight elsewhere are withdrawn. An answer clears the part, a crash in a trial blocks it (10 s, doubling), and only for prompts that hold all parts of the trial. Routers tell each other of crashes, trials and answers within milliseconds, and all of it in beacons, so that a restarted router knows.

A request that is refused for its prompt, or for its own crashes, gets 503 with the time of the next trial: it has not run. Until now it was 502, which promises nothing; the test that expected 502 now expects 503 and a Retry-After.

--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -81,6 +81,19 @@
             candidates, req.head.prompt, self.response_times(req.service), self._clock()
         )
 
+    def place_apart(
+        self, req: ForwardRequest, excluded: Set[UpstreamId]
+    ) -> Placement | None:
+        """Return the upstream with the fewest requests; None if all are excluded."""
+        candidates = self._candidates(req.service, excluded)
+        fewest = min((u.work.n_requests for u in candidates), default=0)
+        return place(
+            [u for u in candidates if u.work.n_requests == fewest],
+            req.head.prompt,
+            self.response_times(req.service),
+            self._clock(),
+        )
+
     def admit(self, req: ForwardRequest) -> Admitted:
         """Return the upstream for a new request.
 
--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -29,6 +29,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.prompt_quarantine import PromptQuarantine
 from chicorylead.peer.membership import Peer
 from chicorylead.peer.protocol import PeerProtocol
 from chicorylead.platform.configuration import decode_configuration
@@ -101,8 +102,9 @@
         }
         self._shares = FairShare(cfg.bounds.share_window_s, self._clock)
         self._poison = PoisonList(rng)
+        self._quarantine = PromptQuarantine(cfg.id)
         self._peer_state = PeerState(
-            self._registry, self._shares, self._poison, self.log
+            self._registry, self._shares, self._poison, self._quarantine, self.log
         )
         self._directory = Directory(cfg, self._serving)
         self._peer_records = PeerRecords(
@@ -120,6 +122,7 @@
                 self._serving,
                 self._records_age,
                 self._poison,
+                self._quarantine,
                 self._end_offsets,
                 self._peer_records.wake,
                 self._clock,
@@ -129,17 +132,20 @@
             self._metrics,
             rng,
         )
+        self._quarantine.on_news = self._peers.queue_prompt_report
         admission = AdmissionController(
             self._registry, self._shares, self._shortest_objective_s, self.log, rng
         )
         forwarder = Forwarder(
             admission,
             self._poison,
+            self._quarantine,
             cfg.bounds,
             self._queue_report,
             lambda: 1 + len(self._peers.state_peers()),
             self.log,
             self._metrics,
+            rng,
         )
         self._ingress = Ingress(
             forwarder,
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -1,8 +1,9 @@
 """Forwards admitted requests to upstreams, with retries and stream resumption."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from random import Random
 
 from chicorylead.admission.cost import pool_demand
 from chicorylead.admission.placement import Placement
@@ -13,19 +14,26 @@
     AdmissionController,
     Admitted,
 )
+from chicorylead.gateway.crash_probe import CrashProbe
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
 from chicorylead.gateway.settings import Bounds
-from chicorylead.ids import ServiceName, UpstreamId
+from chicorylead.ids import PromptPartId, ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.outcome.answered_parts import AnsweredParts
 from chicorylead.outcome.poison import PoisonList, fingerprint_of
+from chicorylead.outcome.prompt_quarantine import (
+    Blocked,
+    Free,
+    Held,
+    PromptQuarantine,
+    Trial,
+)
 from chicorylead.traffic.model import RepeatPolicy
 from chicorylead.traffic.request import ForwardRequest
 from chicorylead.upstream.answer import AnswerHead
-from chicorylead.upstream.connection import Failure, FailureKind, open_connection
+from chicorylead.upstream.connection import Failure, FailureKind
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
 
@@ -36,7 +44,9 @@
 STALL_TIMEOUT_MIN_S = 0.8  # twice a typical latency objective
 MIN_REMAINING_S = 0.03  # with less time left, no upstream can answer
 SUSPECT_TTL_S = 60.0  # callers retry such a request within seconds
-CRASH_PROBE_TIMEOUT_S = 0.5  # a live upstream accepts within a few milliseconds
+# Routers that lose requests in one crash start a trial each, unless one is told first.
+TRIAL_SPREAD_S = 0.02
+MAX_TRIAL_WAIT_S = 1.5  # for another request's trial; several times what one takes
 
 
 @dataclass(slots=True)
@@ -71,6 +81,7 @@
     Args:
         admission: Selects upstreams, and refuses requests that would be late.
         poison: Requests under which upstreams crashed.
+        quarantine: Prompt parts under which engines crashed.
         bounds: Limits of the retry budget.
         on_sent: Called with each prompt that is sent to an engine.
         n_routers: Returns the number of routers that share the retry budget.
@@ -80,11 +91,13 @@
         self,
         admission: AdmissionController,
         poison: PoisonList,
+        quarantine: PromptQuarantine,
         bounds: Bounds,
         on_sent: OnSent,
         n_routers: Callable[[], int],
         log: EventLog,
         metrics: Metrics,
+        rng: Random,
     ) -> None:
         self._admission = admission
         self._poison = poison
@@ -93,10 +106,14 @@
         self._n_routers = n_routers
         self._log = log
         self._metrics = metrics
+        self._rng = rng
         self._clock = asyncio.get_running_loop().time
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._probes: set[asyncio.Task[None]] = set()
-        self._answered_parts = AnsweredParts()
+        self._probe = CrashProbe()
+        self._crash_checks: set[asyncio.Task[None]] = set()
+        self._quarantine = quarantine
+        self._quarantine.on_doubt = self._withdraw
+        self._in_flight: dict[PromptPartId, set[Sender]] = {}
 
     def accept(self, req: ForwardRequest) -> Accepted:
         """Admit a request and select its first upstream, without waiting.
@@ -106,7 +123,15 @@
         """
         fingerprint = fingerprint_of(req.service, req.operation.name, req.body)
         if self._poison.is_blocked(fingerprint):
-            raise Refusal(ErrorKind.POISON, "this request has crashed upstreams")
+            raise Refusal(
+                ErrorKind.POISON,
+                "this request has crashed upstreams",
+                self._poison.notice(fingerprint).ttl_s,
+            )
+        decision = self._quarantine.decide(req.shared_parts)
+        if isinstance(decision, Held | Blocked):
+            self._metrics.count("prompts.refused", reason=_reason(decision))
+            raise self._quarantine_refusal(req, decision)
         self._budget(req.service).record_request()
         try:
             admitted = self._admission.admit(req)
@@ -135,11 +160,19 @@
             Refusal: There is no answer; no part of one was sent.
             Failure: The answer was started and cannot be completed.
         """
-        req, placement = accepted.req, accepted.admitted.placement
-        progress = accepted.progress
+        req, progress = accepted.req, accepted.progress
+        placement: Placement | None = accepted.admitted.placement
         try:
-            while not await self._send(req, placement, progress, reply):
-                placement = self._place_again(req, progress)
+            while True:
+                decision = self._quarantine.decide(req.shared_parts)
+                if not isinstance(decision, Free):
+                    decision = await self._wait_for_trial(req, progress)
+                    placement = self._place_trial(req, decision, progress)
+                elif placement is None:
+                    placement = self._place_again(req, progress)
+                if await self._send(req, placement, decision, progress, reply):
+                    return
+                placement = None
         except Refusal:
             # If an upstream has answered, even with an error, forward that answer.
             if progress.rejected is None or reply.is_started:
@@ -154,6 +187,81 @@
             )
         return placement
 
+    # -- prompts in doubt
+
+    async def _wait_for_trial(
+        self, req: ForwardRequest, progress: _Progress
+    ) -> Free | Trial:
+        """Wait while another request runs as a trial of parts of this one's prompt.
+
+        Raises:
+            Refusal: The prompt is blocked, or the trial takes too long.
+        """
+        ends_at = min(self._clock() + MAX_TRIAL_WAIT_S, req.answer_deadline)
+        await asyncio.sleep(self._rng.uniform(0.0, TRIAL_SPREAD_S))
+        while True:
+            decision = self._quarantine.decide(req.shared_parts)
+            left_s = ends_at - self._clock()
+            match decision:
+                case Free() | Trial():
+                    return decision
+                case Held() if left_s > 0:
+                    await self._quarantine.wait_for_change(left_s)
+                case _:
+                    refusal = self._quarantine_refusal(req, decision)
+                    if progress.n_runs == 0:
+                        raise refusal
+                    raise Refusal(ErrorKind.UPSTREAM_FAILED, refusal.detail)
+
+    def _place_trial(
+        self, req: ForwardRequest, decision: Free | Trial, progress: _Progress
+    ) -> Placement:
+        """Place a trial where a crash ends few requests, and no other trial."""
+        if isinstance(decision, Free):
+            return self._place_again(req, progress)
+        excluded = progress.excluded | self._quarantine.trial_upstreams()
+        placement = self._admission.place_apart(req, excluded)
+        return placement or self._place_again(req, progress)
+
+    def _quarantine_refusal(
+        self, req: ForwardRequest, decision: Held | Blocked
+    ) -> Refusal:
+        reason = _reason(decision)
+        self._log.warning(
+            "prompt_refused",
+            request=req.id,
+            operation=req.operation.name,
+            organisation=req.organisation,
+            reason=reason,
+            parts=_format_parts(decision.parts),
+            n_crashes=decision.n_crashes if isinstance(decision, Blocked) else 0,
+            retry_after_s=decision.retry_after_s,
+        )
+        detail = (
+            "engines crashed under a part of this prompt"
+            if isinstance(decision, Blocked)
+            else "a part of this prompt is checked after a crash of an engine"
+        )
+        return Refusal(ErrorKind.POISON, detail, decision.retry_after_s)
+
+    def _withdraw(self, parts: frozenset[PromptPartId]) -> None:
+        """Withdraw requests with parts in doubt from engines, before they begin."""
+        for part in parts:
+            for sender in list(self._in_flight.get(part, ())):
+                sender.withdraw()
+
+    def _add_in_flight(self, req: ForwardRequest, sender: Sender) -> None:
+        for part in req.shared_parts:
+            self._in_flight.setdefault(part, set()).add(sender)
+
+    def _remove_in_flight(self, req: ForwardRequest, sender: Sender) -> None:
+        for part in req.shared_parts:
+            senders = self._in_flight.get(part)
+            if senders is not None:
+                senders.discard(sender)
+                if not senders:
+                    del self._in_flight[part]
+
     def _budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -171,6 +279,7 @@
         self,
         req: ForwardRequest,
         placement: Placement,
+        decision: Free | Trial,
         progress: _Progress,
         reply: CallerReply,
     ) -> bool:
@@ -197,12 +306,24 @@
             first_s,
             event_s,
             self._on_sent,
-            lambda: self._answered_parts.record(req.shared_parts),
+            lambda: self._record_answering(req, sender),
         )
         progress.n_sends += 1
         started = self._clock()
-        outcome = await sender.send()
-        self._log_send(req, placement, progress, outcome, started, sender)
+        trial = self._start_trial(req, placement, decision)
+        try:
+            if trial is None and req.may_repeat:
+                self._add_in_flight(req, sender)
+            outcome = await sender.send()
+            self._log_send(req, placement, progress, outcome, started, sender)
+            if _is_broken(outcome):
+                await self._check_crash(
+                    placement.upstream, req, progress, sender, trial
+                )
+        finally:
+            self._remove_in_flight(req, sender)
+            if trial is not None:
+                self._quarantine.end_trial(trial)
         match outcome:
             case Served():
                 return True
@@ -216,8 +337,6 @@
                     await self._forward_rejected(outcome, reply)
                     return True
             case Broken(failure=failure):
-                if failure.kind is FailureKind.BROKEN:
-                    self._probe_crash(placement.upstream, req, progress, sender)
                 self._handle_broken(req, placement.upstream, progress, failure, reply)
         progress.excluded.add(placement.upstream.id)
         return False
@@ -264,7 +383,9 @@
     ) -> None:
         progress.n_runs += 1
         progress.events.restart()
-        if upstream.record_failure():
+        if failure.kind is FailureKind.WITHDRAWN:
+            upstream.record_inconclusive()
+        elif upstream.record_failure():
             self._record_ejection(upstream, failure.detail)
         if self._may_run_again(req, progress):
             return
@@ -321,19 +442,29 @@
             reason=reason,
         )
 
-    def _probe_crash(
+    async def _check_crash(
         self,
         upstream: LiveUpstream,
         req: ForwardRequest,
         progress: _Progress,
         sender: Sender,
+        trial: str | None,
     ) -> None:
-        """Probe in the background whether an upstream crashed under a request."""
-        task = asyncio.ensure_future(
-            self._record_crash(upstream, req, progress.fingerprint, sender)
+        """Record whether an upstream crashed under a request.
+
+        A request that may have caused the crash waits for the result, so that it does
+        not run again before its parts are in doubt.
+        """
+        check = asyncio.ensure_future(
+            self._record_crash(upstream, req, progress.fingerprint, sender, trial)
         )
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
+        self._crash_checks.add(check)
+        check.add_done_callback(self._crash_checks.discard)
+        may_be_cause = not sender.is_answering and any(
+            self._quarantine.answered_age_s(part) is None for part in req.shared_parts
+        )
+        if trial is not None or may_be_cause:
+            await asyncio.shield(check)
 
     async def _record_crash(
         self,
@@ -341,29 +472,54 @@
         req: ForwardRequest,
         fingerprint: str,
         sender: Sender,
+        trial: str | None,
     ) -> None:
-        entry = upstream.entry
-        try:
-            conn = await open_connection(
-                entry.host, entry.port, CRASH_PROBE_TIMEOUT_S, upstream.decode
-            )
-            conn.close()
-        except Failure:
-            notice = self._poison.record_crash(fingerprint, upstream.id, SUSPECT_TTL_S)
-            self._log.warning(
-                "upstream_crashed",
-                upstream=upstream.id,
-                born_ms=entry.born_ms,
-                request=req.id,
-                fingerprint=fingerprint,
-                n_crashes=len(notice.crashes),
-                first_event_s=sender.first_event_s,
-                parts=self._part_ages(req),
+        if not await self._probe.has_crashed(upstream):
+            return
+        part_ages = self._part_ages(req)
+        doubted: frozenset[PromptPartId] = frozenset()
+        if not sender.is_answering:
+            doubted = self._quarantine.record_crash(
+                upstream.id, upstream.entry.born_ms, req.shared_parts, trial
             )
+        notice = self._poison.record_crash(fingerprint, upstream.id, SUSPECT_TTL_S)
+        self._log.warning(
+            "upstream_crashed",
+            upstream=upstream.id,
+            born_ms=upstream.entry.born_ms,
+            request=req.id,
+            fingerprint=fingerprint,
+            n_crashes=len(notice.crashes),
+            first_event_s=sender.first_event_s,
+            parts=part_ages,
+            doubted=_format_parts(doubted),
+            trial=trial,
+        )
+
+    def _record_answering(self, req: ForwardRequest, sender: Sender) -> None:
+        self._remove_in_flight(req, sender)
+        self._quarantine.record_answer(req.shared_parts)
+
+    def _start_trial(
+        self, req: ForwardRequest, placement: Placement, decision: Free | Trial
+    ) -> str | None:
+        if isinstance(decision, Free):
+            return None
+        upstream = placement.upstream.id
+        trial = self._quarantine.start_trial(decision.parts, upstream)
+        self._metrics.count("prompts.trials")
+        self._log.warning(
+            "prompt_trial",
+            request=req.id,
+            trial=trial,
+            upstream=upstream,
+            parts=_format_parts(decision.parts),
+        )
+        return trial
 
     def _part_ages(self, req: ForwardRequest) -> str:
         """Format the shared parts, each with the time since it was last answered."""
-        ages = ((part, self._answered_parts.age_s(part)) for part in req.shared_parts)
+        ages = ((p, self._quarantine.answered_age_s(p)) for p in req.shared_parts)
         return ",".join(
             f"{part.hex()}:{'never' if age_s is None else format(age_s, '.3f')}"
             for part, age_s in ages
@@ -431,3 +587,19 @@
             return detail
         case Broken(failure=failure):
             return str(failure)
+
+
+def _is_broken(outcome: Served | NotRun | Rejected | Broken) -> bool:
+    match outcome:
+        case Broken(failure=failure):
+            return failure.kind is FailureKind.BROKEN
+        case _:
+            return False
+
+
+def _reason(decision: Held | Blocked) -> str:
+    return type(decision).__name__.lower()
+
+
+def _format_parts(parts: Iterable[PromptPartId]) -> str:
+    return ",".join(sorted(part.hex() for part in parts)) or "-"
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -7,6 +7,8 @@
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.prompt_quarantine import PromptQuarantine
+from chicorylead.outcome.prompt_report import PromptReport
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
@@ -34,6 +36,7 @@
         serving: The routers that callers are told to use.
         records_age: Time since the records were known to be current.
         poison: Requests under which upstreams crashed.
+        quarantine: Prompt parts under which engines crashed.
         end_offsets: Returns the end offset known to this router of each stream.
         on_news: Called when a peer knows records that this router lacks.
         clock: Returns the time of the event loop, seconds.
@@ -47,6 +50,7 @@
         serving: ServingRouters,
         records_age: RecordsAge,
         poison: PoisonList,
+        quarantine: PromptQuarantine,
         end_offsets: Callable[[], tuple[int, int]],
         on_news: Callable[[], None],
         clock: Callable[[], float],
@@ -57,6 +61,7 @@
         self._serving = serving
         self._records_age = records_age
         self._poison = poison
+        self._quarantine = quarantine
         self._end_offsets = end_offsets
         self._on_news = on_news
         self._clock = clock
@@ -86,6 +91,7 @@
             self._state.local_work(),
             self._state.local_usage(),
             self._poison.notices(MAX_SUSPECTS_SENT),
+            self._quarantine.crash_reports(),
         )
 
     def end_offsets(self) -> tuple[int, int]:
@@ -100,6 +106,23 @@
         """Return the usage that changed since the last call."""
         return self._state.pop_changed_usage()
 
+    def pop_answered_parts(self) -> list[bytes]:
+        """Return the prompt parts that peers may not know to be answered."""
+        return self._quarantine.pop_answered()
+
+    def make_prompt_report(self) -> PromptReport:
+        """Return the news about prompt parts since the last call."""
+        return self._state.make_prompt_report(self._incarnation)
+
+    def crash_report(self) -> PromptReport:
+        """Return all that is known of crashes, for a router that has just started."""
+        crashes = self._quarantine.crash_reports()
+        return PromptReport(self._incarnation, crashes, [], [])
+
+    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+        """Apply a live peer's news about prompt parts."""
+        self._state.apply_prompt_report(peer, report)
+
     def is_serving(self, peer: Peer) -> bool:
         """Return whether callers are told to use a peer."""
         return self._serving.is_serving(peer)
@@ -107,7 +130,8 @@
     def has_state(self) -> bool:
         """Return whether this router's state matters to others."""
         now = self._clock()
-        if self._state.is_active() or self._poison.notices(1):
+        is_suspicious = self._poison.notices(1) or self._quarantine.crash_reports()
+        if self._state.is_active() or is_suspicious:
             self._had_state_at = now
         return now - self._had_state_at < STATE_HOLD_S
 
--- a/src/chicorylead/gateway/peer_state.py
+++ b/src/chicorylead/gateway/peer_state.py
@@ -7,6 +7,8 @@
 from chicorylead.ids import OrganisationId, PoolName, PromptPartId, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.prompt_quarantine import PromptQuarantine
+from chicorylead.outcome.prompt_report import CrashReport, PromptReport
 from chicorylead.peer.datagram import Beacon, StateDelta, UsageReport, WorkReport
 from chicorylead.traffic.request import PromptPart
 from chicorylead.upstream.live import LiveUpstream
@@ -23,14 +25,21 @@
         registry: Upstreams, with the work of each router there.
         shares: Usage of organisations.
         poison: Requests under which upstreams crashed.
+        quarantine: Prompt parts under which engines crashed.
     """
 
     def __init__(
-        self, registry: Registry, shares: FairShare, poison: PoisonList, log: EventLog
+        self,
+        registry: Registry,
+        shares: FairShare,
+        poison: PoisonList,
+        quarantine: PromptQuarantine,
+        log: EventLog,
     ) -> None:
         self._registry = registry
         self._shares = shares
         self._poison = poison
+        self._quarantine = quarantine
         self._log = log
         self._clock = asyncio.get_running_loop().time
 
@@ -56,6 +65,27 @@
         """Return the usage that changed since the last call."""
         return _encode_usage(self._shares.pop_changed())
 
+    def make_prompt_report(self, incarnation: int) -> PromptReport:
+        """Return the news about prompt parts since the last call."""
+        return PromptReport(incarnation, *self._quarantine.pop_news())
+
+    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+        """Apply a peer's news about prompt parts."""
+        self._quarantine.apply_answered(report.answered)
+        self._apply_crashes(peer, report.crashes)
+        self._quarantine.apply_trials(report.trials)
+
+    def _apply_crashes(self, peer: str, crashes: Sequence[CrashReport]) -> None:
+        for crash in self._quarantine.apply_crashes(crashes):
+            self._log.warning(
+                "crash_told",
+                peer=peer,
+                crash=crash.crash,
+                n_parts=len(crash.parts),
+                is_trial=crash.is_trial,
+                age_s=crash.age_ms / 1000,
+            )
+
     def apply_beacon(self, beacon: Beacon) -> None:
         """Replace the state of a peer by the full state in a beacon."""
         peer = beacon.presence.id
@@ -68,6 +98,7 @@
                 _clear_work(upstream, peer)
         usage = _decode_usage(beacon.usage)
         self._shares.set_peer(peer, beacon.presence.incarnation, usage)
+        self._apply_crashes(peer, beacon.crashes)
         for notice in beacon.suspects:
             if self._poison.merge(notice):
                 self._log.warning(
@@ -78,6 +109,7 @@
         """Apply changes of a peer's work and usage."""
         usage = _decode_usage(delta.usage)
         self._shares.merge_peer(peer, delta.incarnation, usage)
+        self._quarantine.apply_answered(delta.answered)
         for report in delta.reports:
             upstream = self._registry.get(UpstreamId(report.work.upstream))
             if upstream is None:
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -25,6 +25,7 @@
 # A prompt crashes its engine as the answer begins; a crash this much later has another
 # cause. A few steps of an engine.
 ANSWER_BEGUN_S = 0.1
+WITHDRAWN_DETAIL = "withdrawn, as a part of its prompt may have crashed an engine"
 MAX_BODY_BYTES = 4_194_304  # largest body allowed in either direction
 
 
@@ -46,6 +47,7 @@
         first_event_s: Time from sending to the first event, seconds.
         longest_pause_s: Longest time between two events, seconds.
         head: Head of the answer.
+        is_answering: Whether the upstream is past the begin of its answer.
     """
 
     def __init__(
@@ -71,7 +73,9 @@
         self._event_timeout_s = event_timeout_s
         self._on_sent = on_sent
         self._on_answering = on_answering
-        self._is_answering = False
+        self._conn: Connection | None = None
+        self._is_withdrawn = False
+        self.is_answering = False
         self._clock = asyncio.get_running_loop().time
         self._sent_at = 0.0
         self.first_event_s: float | None = None
@@ -81,10 +85,13 @@
     async def send(self) -> SendOutcome:
         """Send the request and forward its answer."""
         self._add_work()
-        conn: Connection | None = None
         is_done = False
         try:
-            conn = await self._upstream.connect()
+            conn = self._conn = await self._upstream.connect()
+            if self._is_withdrawn:
+                is_done = True
+                # The upstream was reached, so that its health is not in question.
+                return NotRun(WITHDRAWN_DETAIL, was_received=True)
             outcome = await self._exchange(conn)
             is_done = True
             return outcome
@@ -94,12 +101,20 @@
             return Broken(exc)
         finally:
             # Closing the connection of a cancelled request ends its run.
-            if conn is not None and is_done:
-                self._upstream.release(conn)
-            elif conn is not None:
-                conn.close()
+            if self._conn is not None and is_done:
+                self._upstream.release(self._conn)
+            elif self._conn is not None:
+                self._conn.close()
             self._remove_work()
 
+    def withdraw(self) -> None:
+        """Take the request back from the upstream, unless it answers already."""
+        if self.is_answering:
+            return
+        self._is_withdrawn = True
+        if self._conn is not None:
+            self._conn.withdraw(WITHDRAWN_DETAIL)
+
     # -- work
 
     def _add_work(self) -> None:
@@ -209,8 +224,8 @@
         return Served(head.status)
 
     def _record_answering(self) -> None:
-        if not self._is_answering:
-            self._is_answering = True
+        if not self.is_answering:
+            self.is_answering = True
             self._on_answering()
 
     def _record_first_event(self, head: AnswerHead) -> None:
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from chicorylead.outcome.poison_notice import PoisonNotice
+from chicorylead.outcome.prompt_report import CrashReport
 
 __all__ = [
     "Beacon",
@@ -68,11 +69,13 @@
     Attributes:
         reports: Work at the upstreams that were sent prompts.
         usage: Usage that changed recently, per organisation and pool.
+        answered: Ids of shared prompt parts that engines answer, new to the sender.
     """
 
     incarnation: int
     reports: list[SendReport]
     usage: list[UsageReport] = []
+    answered: list[bytes] = []
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag="p"):
@@ -156,9 +159,11 @@
         work: Work at the upstreams to which it has sent requests.
         usage: Usage of organisations, per pool.
         suspects: Requests under which upstreams crashed.
+        crashes: Crashes, with the prompt parts that may have caused them.
     """
 
     presence: Presence
     work: list[WorkReport]
     usage: list[UsageReport]
     suspects: list[PoisonNotice] = []
+    crashes: list[CrashReport] = []
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -23,6 +23,7 @@
 
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
+from chicorylead.outcome.prompt_report import PromptReport
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
@@ -55,6 +56,10 @@
 PEERS_PER_PRESENCE = 4
 PEERS_PER_REPLY = 64  # a newcomer learns of the others from several replies
 DELTA_DELAY_PER_PEER_S = 0.001  # batches the sends of a few milliseconds
+PROMPT_REPORT_DELAY_S = 0.002  # batches the requests that break in one crash
+# Of each prompt report: a router that misses it sends such prompts to engines until
+# the next beacon.
+N_PROMPT_REPORTS = 3
 USAGE_INTERVAL_S = 0.1  # 1/40 of the default window of shares
 # A router that sends deltas serves callers, even if it is not one that they are told.
 DELTA_SENDER_S = 5.0
@@ -81,6 +86,18 @@
     def pop_changed_usage(self) -> list[UsageReport]:
         """Return the usage that changed since the last call."""
 
+    def pop_answered_parts(self) -> list[bytes]:
+        """Return the prompt parts that peers may not know to be answered."""
+
+    def make_prompt_report(self) -> PromptReport:
+        """Return the news about prompt parts since the last call."""
+
+    def crash_report(self) -> PromptReport:
+        """Return all that is known of crashes, for a router that has just started."""
+
+    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+        """Apply a live peer's news about prompt parts."""
+
     def is_serving(self, peer: Peer) -> bool:
         """Return whether callers are told to use a peer."""
 
@@ -144,9 +161,17 @@
         self._had_state = False
         self._usage_sent_at = -USAGE_INTERVAL_S
         self._pending_reports: dict[str, SendReport] = {}
+        self._has_prompt_news = False
+        self._repeated_reports: list[tuple[PromptReport, int]] = []
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
-            Beacon | Heartbeat | Presence | RelayedDatagram | StateDelta | Suspicion
+            Beacon
+            | Heartbeat
+            | Presence
+            | PromptReport
+            | RelayedDatagram
+            | StateDelta
+            | Suspicion
         )
 
     def live(self) -> list[Peer]:
@@ -205,6 +230,7 @@
             self._members.evict(now)
         self._n_ticks += 1
         self._repeat_announcement()
+        self._repeat_prompt_reports()
         self._send_presences()
         self._probe(now)
 
@@ -335,9 +361,41 @@
         if now - self._usage_sent_at >= USAGE_INTERVAL_S:
             self._usage_sent_at = now
             usage = self._router.pop_changed_usage()
-        delta = StateDelta(self._incarnation, reports, usage)
+        answered = self._router.pop_answered_parts()
+        delta = StateDelta(self._incarnation, reports, usage, answered)
         self._broadcast(self._encoder.encode(delta))
 
+    def queue_prompt_report(self) -> None:
+        """Send the news about prompt parts to all live peers, some milliseconds later.
+
+        Peers that callers are not told to use get requests as well, from callers with
+        an old list.
+        """
+        if not self._has_prompt_news:
+            self._has_prompt_news = True
+            self._loop.call_later(PROMPT_REPORT_DELAY_S, self._send_prompt_report)
+
+    def _send_prompt_report(self) -> None:
+        self._has_prompt_news = False
+        report = self._router.make_prompt_report()
+        self._send_to_live(report)
+        # A repeated start of a trial could follow its end.
+        repeated = msgspec.structs.replace(report, trials=[])
+        if repeated.crashes or repeated.answered:
+            self._repeated_reports.append((repeated, N_PROMPT_REPORTS - 1))
+
+    def _repeat_prompt_reports(self) -> None:
+        reports, self._repeated_reports = self._repeated_reports, []
+        for report, n_left in reports:
+            self._send_to_live(report)
+            if n_left > 1:
+                self._repeated_reports.append((report, n_left - 1))
+
+    def _send_to_live(self, report: PromptReport) -> None:
+        data = self._encoder.encode(report)
+        for peer in self.live():
+            self._send_to(peer.presence.host, data)
+
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -410,6 +468,8 @@
                 self._handle_presence(message, origin)
             case Heartbeat():
                 self._handle_heartbeat(message, origin)
+            case PromptReport():
+                self._handle_prompt_report(message, origin)
             case RelayedDatagram():
                 self._handle_relayed(message, origin)
             case StateDelta():
@@ -435,6 +495,9 @@
                 self._log.info("peer_heard", peer=presence.id, host=sender)
                 if not presence.wants_reply:
                     self._send_presence([sender])
+                report = self._router.crash_report()
+                if report.crashes:
+                    self._send_to(sender, self._encoder.encode(report))
         if presence.wants_reply:
             self._send_presence([sender], self._sample_hosts(PEERS_PER_REPLY))
         return is_newer
@@ -450,6 +513,13 @@
         if heartbeat.wants_reply:
             self._send_heartbeat([sender])
 
+    def _handle_prompt_report(self, report: PromptReport, sender: str) -> None:
+        peer = self._members.by_host(sender)
+        if peer is None or not peer.is_live:
+            return
+        if peer.presence.incarnation == report.incarnation:
+            self._router.apply_prompt_report(peer.presence.id, report)
+
     def _handle_suspicion(self, suspicion: Suspicion, sender: str) -> None:
         """Probe a router that a peer suspects to be lost."""
         teller = self._members.by_host(sender)
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -76,7 +76,7 @@
     ErrorKind.DEADLINE_IN_QUEUE: 503,
     ErrorKind.NO_UPSTREAM: 503,
     ErrorKind.NOT_READY: 503,
-    ErrorKind.POISON: 502,
+    ErrorKind.POISON: 503,
     ErrorKind.UPSTREAM_FAILED: 502,
     ErrorKind.UPSTREAM_TIMEOUT: 504,
     ErrorKind.INTERNAL: 502,
--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -54,6 +54,7 @@
     BROKEN = "broken"
     GARBLED = "garbled"
     SILENT = "silent"
+    WITHDRAWN = "withdrawn"
 
 
 class Failure(Exception):
@@ -194,6 +195,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def withdraw(self, detail: str) -> None:
+        """Abort the exchange, so that the upstream drops the request."""
+        self._fail(FailureKind.WITHDRAWN, detail)
+
     async def _wait(self, deadline: float) -> None:
         if self._failure is not None:
             raise self._failure
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -17,6 +17,7 @@
 from chicorylead.gateway.settings import Bounds, GatewaySettings
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RouterId, ZoneName
+from chicorylead.outcome.prompt_report import CrashReport, PromptReport
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
@@ -333,6 +334,8 @@
         dropped: Ids of lost peers.
         serving: Ids of the routers that callers are told to use; None for all.
         has_reports: Whether this router has state to send.
+        crashes: Crashes that this router knows of.
+        prompt_reports: Ids of peers, with their prompt reports.
         presence: Its presence, but for the sequence number and the peers.
     """
 
@@ -344,6 +347,8 @@
         self.dropped: list[str] = []
         self.serving: set[str] | None = None
         self.has_reports = True
+        self.crashes: list[CrashReport] = []
+        self.prompt_reports: list[tuple[str, PromptReport]] = []
 
     def make_presence(self, sequence: int, peers: list[str]) -> Presence:
         return msgspec.structs.replace(self.presence, sequence=sequence, peers=peers)
@@ -360,6 +365,18 @@
     def pop_changed_usage(self) -> list[UsageReport]:
         return [UsageReport("engines", "o", 20, 10)]
 
+    def pop_answered_parts(self) -> list[bytes]:
+        return []
+
+    def make_prompt_report(self) -> PromptReport:
+        return PromptReport(self.presence.incarnation, self.crashes, [], [])
+
+    def crash_report(self) -> PromptReport:
+        return self.make_prompt_report()
+
+    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+        self.prompt_reports.append((peer, report))
+
     def is_serving(self, peer: Peer) -> bool:
         return self.serving is None or peer.presence.id in self.serving
 
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -30,6 +30,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.prompt_quarantine import PromptQuarantine
 from chicorylead.platform.caller import encode_refusal
 from chicorylead.traffic.model import Operation, RepeatPolicy
 from chicorylead.traffic.request import CallerHead, ForwardRequest
@@ -64,6 +65,7 @@
         self._upstream = placement.upstream
         self._events, self._reply = events, reply
         self.first_event_s, self.longest_pause_s, self.head = None, 0.0, None
+        self.is_answering = False
 
     async def send(self):
         behaviour = self.behaviour
@@ -99,6 +101,10 @@
     return ForwardRequest(head, b"x", operation, service, None, now, now + 9.0, 0.0)
 
 
+async def _never_crashed(upstream) -> bool:
+    return False
+
+
 async def _forward(
     behaviour: _UpstreamBehaviour, repeat: RepeatPolicy, max_attempts: int
 ):
@@ -121,13 +127,15 @@
     forwarder = Forwarder(
         admission,
         PoisonList(Random(1)),
+        PromptQuarantine("router-1"),
         Bounds(),
         lambda upstream, parts: None,
         lambda: 1,
         log,
         Metrics(),
+        Random(1),
     )
-    forwarder._probe_crash = lambda *_: None
+    forwarder._probe = SimpleNamespace(has_crashed=_never_crashed)
     _ScriptedSender.behaviour = behaviour
     req = _request(repeat, max_attempts, loop.time())
     try:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -93,6 +93,18 @@
         await self.store.stop()
         await self.other_store.stop()
 
+    async def restart(self, number: int) -> None:
+        """Replace a router by one that knows nothing."""
+        await self.gateways[number].app.stop()
+        await asyncio.sleep(0.05)  # its datagram socket is closed in a later iteration
+        self.gateways[number] = Gateway(
+            self.cfgs[number], incarnation=2, read_settings=lambda: None
+        )
+        await self.gateways[number].app.start()
+
+    async def serves(self, number: int) -> bool:
+        return self.gateways[number].n_upstreams > 0
+
     async def look_up_status(self, number: int) -> int:
         host, port = self.cfgs[number].callers
         return (await call(port, "/look/a", host_ip=host))[0]
@@ -197,10 +209,11 @@
             host, port = pair.cfgs[1].callers
 
             async def refuses() -> bool:
-                status, _, body, _ = await call(
+                status, headers, body, _ = await call(
                     port, "/publish/bad", "POST", b"x", host_ip=host
                 )
-                return status == 502 and b"poison" in body
+                is_told_when = float(headers.get("retry-after", 0)) > 1.0
+                return status == 503 and b"poison" in body and is_told_when
 
             await _wait_until(refuses, limit_s=2.0)
 
--- a/tests/gateway/test_prefix_reports.py
+++ b/tests/gateway/test_prefix_reports.py
@@ -6,6 +6,7 @@
 from chicorylead.gateway.peer_state import PeerState
 from chicorylead.logs import EventLog
 from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.prompt_quarantine import PromptQuarantine
 from chicorylead.peer.datagram import SendReport, StateDelta, WorkReport
 from chicorylead.upstream.prefix_cache import CACHE_FRACTION
 from tests.gateway.load_simulation import make_prompt, make_upstream
@@ -20,7 +21,11 @@
         upstream = make_upstream("u0")
         registry = {upstream.id: upstream}
         state = PeerState(
-            registry, FairShare(4.0, lambda: 0.0), PoisonList(None), EventLog()
+            registry,
+            FairShare(4.0, lambda: 0.0),
+            PoisonList(None),
+            PromptQuarantine("r1"),
+            EventLog(),
         )
         prompt = make_prompt("p", 6000, "shared", 5000)
         upstream.prefixes.record_parts(prompt.parts)
