Hold only requests that may have caused a crash to account for it

Callers of sound requests were refused because of crashes that others caused.

- The digest of a request took the operation and the body.
Requests without a body differ in their path only, so two crashes under one refused all of its operation for 60 s.
The digest takes method, path and prompt parts as well.
- A request whose answer has begun cannot have caused the crash, nor one beside a trial on its engine.
Neither is recorded any more; upstream_crashed tells it (is_suspect).

The two tests failed before: 503 where 200 is wanted, for another path and for a stream that had lost two upstreams after five events each.

--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -121,7 +121,7 @@
         Raises:
             Refusal: The request is not admitted.
         """
-        fingerprint = fingerprint_of(req.service, req.operation.name, req.body)
+        fingerprint = _fingerprint(req)
         if self._poison.is_blocked(fingerprint):
             raise Refusal(
                 ErrorKind.POISON,
@@ -477,19 +477,23 @@
         if not await self._probe.has_crashed(upstream):
             return
         part_ages = self._part_ages(req)
+        born_ms = upstream.entry.born_ms
+        is_explained = self._quarantine.explains(upstream.id, born_ms)
+        is_suspect = not sender.is_answering and (trial is not None or not is_explained)
         doubted: frozenset[PromptPartId] = frozenset()
-        if not sender.is_answering:
+        if is_suspect:
             doubted = self._quarantine.record_crash(
-                upstream.id, upstream.entry.born_ms, req.shared_parts, trial
+                upstream.id, born_ms, req.shared_parts, trial
             )
-        notice = self._poison.record_crash(fingerprint, upstream.id, SUSPECT_TTL_S)
+            self._poison.record_crash(fingerprint, upstream.id, SUSPECT_TTL_S)
         self._log.warning(
             "upstream_crashed",
             upstream=upstream.id,
-            born_ms=upstream.entry.born_ms,
+            born_ms=born_ms,
             request=req.id,
             fingerprint=fingerprint,
-            n_crashes=len(notice.crashes),
+            n_crashes=len(self._poison.crashed_upstreams(fingerprint)),
+            is_suspect=is_suspect,
             first_event_s=sender.first_event_s,
             parts=part_ages,
             doubted=_format_parts(doubted),
@@ -589,6 +593,14 @@
             return str(failure)
 
 
+def _fingerprint(req: ForwardRequest) -> str:
+    """Return a digest of all that an upstream computes the answer from."""
+    prompt = req.head.prompt
+    parts = b",".join(part.id for part in prompt.parts) if prompt is not None else b""
+    call = f"{req.head.method} {req.head.path}"
+    return fingerprint_of(req.service, call, parts + b"\x00" + req.body)
+
+
 def _is_broken(outcome: Served | NotRun | Rejected | Broken) -> bool:
     match outcome:
         case Broken(failure=failure):
--- a/src/chicorylead/outcome/prompt_quarantine.py
+++ b/src/chicorylead/outcome/prompt_quarantine.py
@@ -163,6 +163,11 @@
         self._expire()
         return frozenset(trial.upstream for trial in self._trials.values())
 
+    def explains(self, upstream: UpstreamId, born_ms: int) -> bool:
+        """Return whether a trial is the likely cause of an engine's crash."""
+        crash_id = _crash_id(upstream, born_ms)
+        return (crash_id, True) in self._crashes or upstream in self.trial_upstreams()
+
     def answered_age_s(self, part: PromptPartId) -> float | None:
         """Return the time since a part was last answered, seconds; None if never."""
         return self._answered.age_s(part)
@@ -252,13 +257,14 @@
             The parts that the crash puts in doubt; none if a trial explains it.
         """
         trial = self._trials.get(trial_id) if trial_id is not None else None
-        if trial is None and upstream in self.trial_upstreams():
+        if trial is None and self.explains(upstream, born_ms):
             return frozenset()
         if trial is not None:
             candidates = trial.parts
         else:
             candidates = frozenset(p for p in parts if not self._is_in_frequent_use(p))
-        crash = _Crash(f"{upstream}@{born_ms}", trial is not None, self._clock())
+        crash_id = _crash_id(upstream, born_ms)
+        crash = _Crash(crash_id, trial is not None, self._clock())
         if self._merge_crash(crash, candidates):
             self._crash_news.add(crash.key)
             self.on_news()
@@ -395,3 +401,8 @@
     def _report(self, crash: _Crash) -> CrashReport:
         age_ms = round(1000 * (self._clock() - crash.at))
         return CrashReport(crash.id, sorted(crash.parts), crash.is_trial, age_ms)
+
+
+def _crash_id(upstream: UpstreamId, born_ms: int) -> str:
+    """Return an id that all routers give to the crash of one incarnation."""
+    return f"{upstream}@{born_ms}"
--- /dev/null
+++ b/tests/gateway/test_crash_attribution.py
@@ -0,0 +1,82 @@
+"""Which requests are held to account for a crash of their upstream."""
+
+import asyncio
+
+from tests.gateway.fakes import ReceivedRequest, sealed_response
+from tests.gateway.test_gateway import STREAM_HEAD, GatewayHarness, _run_check
+
+CRASHING_PATH = "/look/bad"
+
+
+class _Scripts:
+    """Scripts of upstreams that share a switch.
+
+    Attributes:
+        harness: Set once the upstreams run.
+    """
+
+    def __init__(self) -> None:
+        self.harness: GatewayHarness | None = None
+        self.n_crashes = 0
+
+    async def crash(self, got: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        """End the upstream that received a request."""
+        self.n_crashes += 1
+        for upstream in self.harness.upstreams:
+            if got in upstream.received:
+                await upstream.stop()
+        writer.transport.abort()
+
+    async def crash_under_one_path(
+        self, got: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if got.target == CRASHING_PATH:
+            await self.crash(got, writer)
+        else:
+            writer.write(sealed_response(got, b"hello"))
+
+    async def crash_amid_a_stream(
+        self, got: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Crash, twice in all, when the answer is well under way."""
+        request_id = got.headers["chicorylead-attempt-id"]
+        start = int(got.headers.get("last-event-id", 0)) + 1
+        writer.write(STREAM_HEAD.format(id=request_id).encode())
+        for number in range(start, 15):
+            event = f"id: {number}\ndata: x\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await asyncio.sleep(0.03)
+            if number == start + 4 and self.n_crashes < 2:
+                await self.crash(got, writer)
+                return
+        writer.write(b"0\r\n\r\n")
+
+
+def test_a_request_is_not_refused_for_the_crashes_of_another_path():
+    """Requests without a body differ in their path only."""
+    scripts = _Scripts()
+
+    async def check(harness: GatewayHarness) -> None:
+        scripts.harness = harness
+        await harness.call(CRASHING_PATH)
+        assert scripts.n_crashes == 2
+        await asyncio.sleep(0.1)
+        assert (await harness.call(CRASHING_PATH))[0] == 503
+        assert (await harness.call("/look/good"))[0] == 200
+
+    _run_check([scripts.crash_under_one_path] * 3, check)
+
+
+def test_a_stream_that_had_begun_is_not_held_to_account_for_crashes():
+    scripts = _Scripts()
+
+    async def check(harness: GatewayHarness) -> None:
+        scripts.harness = harness
+        await harness.call("/revise/a")
+        await asyncio.sleep(0.1)
+        assert scripts.n_crashes == 2
+        status, _, body, is_whole = await harness.call("/revise/a")
+        assert (status, is_whole) == (200, True)
+        assert body.count(b"id: ") == 14
+
+    _run_check([scripts.crash_amid_a_stream] * 3, check)
