Suspect only requests that got no event before their upstream crashed

Cause: the router held every request on a crashed upstream to account, also one that had received events from it, so that a stream which lost two upstreams to others' crashes was blocked. A request that crashes upstreams does so before its first event, so only those without one become suspects.

What remains possible: a sound request that waits for its first event on two upstreams as they crash.

--- a/src/chicorylead/router/attempts.py
+++ b/src/chicorylead/router/attempts.py
@@ -283,7 +283,9 @@
             detail=exc.detail,
             n_events=n_received,
         )
-        if exc.kind in _CRASH_KINDS and await self._is_down(state):
+        # A request that crashes upstreams does so before the first event.
+        may_be_cause = n_received == 0 and exc.kind in _CRASH_KINDS
+        if may_be_cause and await self._is_down(state):
             await self._on_crash(name)
         self._check_may_retry(exc, n_received)
         await asyncio.sleep(self._rng.uniform(0, RETRY_JITTER_S * self._n_breaks))
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -145,3 +145,18 @@
             assert status["poison"] == []
 
     run_with_fleet(body)
+
+
+def test_streams_that_lose_two_upstreams_are_not_suspected_of_their_crashes():
+    async def body(fleet):
+        sending = asyncio.create_task(_send_many(fleet, 12, 400))
+        for name in ("runner-0", "runner-1", "runner-2"):
+            await asyncio.sleep(0.6)
+            fleet.upstreams[name].process.signal(signal.SIGKILL)
+        answers = await sending
+        assert [answer.error for answer in answers if answer.error == "poison"] == []
+        for name in fleet.routers:
+            status = await fleet.call_operator(name, "GET", "/admin/v1/status")
+            assert status["poison"] == []
+
+    run_with_fleet(body, n_engines=5)
