Answer 429 where an organisation has used its share, 503 where no engine has room

These refusals said 503, as if the service were unavailable, and neither the caller nor the rule could tell them from engines that are gone. The product's own interface answers 429 for this.

The gate tells whether an organisation with less usage would have been admitted; then the refusal is over_share, 429. Without room it stays queue_full, 503. Nothing is admitted or refused that was not before; it is no gain of service. The new test cannot run on the code before, which has no such field. chicorylead explain tells the two apart, and requests refused or tried for their prompt.

--- a/src/chicorylead/admission/gate.py
+++ b/src/chicorylead/admission/gate.py
@@ -62,10 +62,12 @@
     Attributes:
         retry_after_s: Time after which the caller should retry, seconds.
         limit_s: Longest queue time that was allowed, seconds.
+        is_over_share: Whether an organisation within its share would be admitted.
     """
 
     retry_after_s: float
     limit_s: float
+    is_over_share: bool
 
 
 def decide(placement: Placement, demand: Demand, rng: Random) -> Admit | Refuse:
@@ -76,7 +78,10 @@
     has_room = placement.has_room and not _is_crowded(placement, demand)
     if is_idle or (placement.queue_s <= limit_s and has_room):
         return Admit(placement)
-    return Refuse(_retry_after_s(placement.queue_s - limit_s, rng), limit_s)
+    full_limit_s = MAX_QUEUE_FRACTION * demand.shortest_objective_s
+    is_over_share = placement.has_room and placement.queue_s <= full_limit_s
+    retry_after_s = _retry_after_s(placement.queue_s - limit_s, rng)
+    return Refuse(retry_after_s, limit_s, is_over_share)
 
 
 def _overuse(demand: Demand) -> float:
--- a/src/chicorylead/errors.py
+++ b/src/chicorylead/errors.py
@@ -34,6 +34,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
     QUEUE_FULL = "queue_full"
+    OVER_SHARE = "over_share"
     DEADLINE_IN_QUEUE = "deadline_in_queue"
     NO_UPSTREAM = "no_upstream"
     LOG_UNAVAILABLE = "log_unavailable"
@@ -78,6 +79,7 @@
     ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(409, _UNKNOWN),
     ErrorKind.ANSWER_NOT_KEPT: ErrorResponse(409, RunState.RAN),
     ErrorKind.QUEUE_FULL: ErrorResponse(429, _NOT_RUN, 2),
+    ErrorKind.OVER_SHARE: ErrorResponse(429, _NOT_RUN, 2),
     ErrorKind.DEADLINE_IN_QUEUE: ErrorResponse(503, _NOT_RUN, 2),
     ErrorKind.NO_UPSTREAM: ErrorResponse(503, _NOT_RUN, 2),
     ErrorKind.LOG_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, 5),
--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -116,8 +116,9 @@
                 return Admitted(admitted, usage)
             case Refuse() as refuse:
                 self._log_refused(req, placement, usage, refuse)
+                is_over_share = refuse.is_over_share
                 raise Refusal(
-                    ErrorKind.QUEUE_FULL,
+                    ErrorKind.OVER_SHARE if is_over_share else ErrorKind.QUEUE_FULL,
                     f"wait {placement.queue_s:.3f} s, limit {refuse.limit_s:.3f} s",
                     refuse.retry_after_s,
                 )
@@ -174,6 +175,7 @@
             asked=usage.asked,
             level=usage.level,
             usage_age_s=usage.usage_age_s,
+            is_over_share=refuse.is_over_share,
             waited_s=req.waited_s,
             retry_after_s=refuse.retry_after_s,
         )
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -45,7 +45,7 @@
 MIN_REMAINING_S = 0.03  # with less time left, no upstream can answer
 SUSPECT_TTL_S = 60.0  # callers retry such a request within seconds
 # Routers that lose requests in one crash start a trial each, unless one is told first.
-TRIAL_SPREAD_S = 0.02
+TRIAL_SPREAD_S = 0.04
 MAX_TRIAL_WAIT_S = 1.5  # for another request's trial; several times what one takes
 
 
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -136,7 +136,8 @@
     async def _send_refusal(
         self, exc: Refusal, head: CallerHead | None, reply: CallerReply
     ) -> None:
-        if exc.kind is not ErrorKind.QUEUE_FULL:
+        # Of a request that is not admitted, `request_refused` tells more.
+        if exc.kind not in (ErrorKind.QUEUE_FULL, ErrorKind.OVER_SHARE):
             self._log.warning(
                 "request_ended",
                 request=head.request_id if head else None,
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -71,7 +71,9 @@
     ErrorKind.FORBIDDEN: 403,
     ErrorKind.NOT_FOUND: 404,
     ErrorKind.TOO_LARGE: 413,
-    # The callers' protocol promises "not run" with 429 and 503 only.
+    # The callers' protocol promises "not run" with 429 and 503 only: 429 where the
+    # caller's organisation has used its share, 503 where nobody could be served.
+    ErrorKind.OVER_SHARE: 429,
     ErrorKind.QUEUE_FULL: 503,
     ErrorKind.DEADLINE_IN_QUEUE: 503,
     ErrorKind.NO_UPSTREAM: 503,
--- a/src/chicorylead/report/explanation.py
+++ b/src/chicorylead/report/explanation.py
@@ -24,6 +24,7 @@
 _ROUTER_EVENTS = frozenset(
     (
         "configuration_in_force",
+        "crash_told",
         "drain_begins",
         "drain_ends",
         "gateway_started",
@@ -118,13 +119,44 @@
             return f"ended with {fields.get('kind')}: {fields.get('detail')}"
         case "answer_cut":
             return f"answer cut off before its end: {fields.get('reason')}"
+        case "prompt_trial":
+            return (
+                f"run as trial {fields.get('trial')} of prompt parts "
+                f"{fields.get('parts')} on {fields.get('upstream')}"
+            )
+        case "prompt_refused":
+            return _describe_prompt_refused(line)
+        case "upstream_crashed":
+            return (
+                f"{fields.get('upstream')} crashed under it (suspected: "
+                f"{fields.get('is_suspect')}); shared parts and the time since each "
+                f"was answered: {fields.get('parts')}; now in doubt: "
+                f"{fields.get('doubted')}"
+            )
         case "caller_gone":
             return f"the caller disconnected after {line.number('after_s'):.3f} s"
         case _:
             return _summary(line)
 
 
+def _describe_prompt_refused(line: LogLine) -> str:
+    fields = line.fields
+    if fields.get("reason") == "blocked":
+        return (
+            f"refused for its prompt: engines crashed in {fields.get('n_crashes')} "
+            f"trials of parts {fields.get('parts')}; the next trial is in "
+            f"{line.number('retry_after_s'):.1f} s"
+        )
+    return (
+        f"refused for its prompt: another request runs as a trial of parts "
+        f"{fields.get('parts')}"
+    )
+
+
 def _cause(steps: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    refused = [line for line in steps if line.event == "prompt_refused"]
+    if refused:
+        return _describe_prompt_refused(refused[-1])
     last = steps[-1]
     match last.event:
         case "request_refused":
@@ -150,6 +182,11 @@
             f"{line.number('level'):.0f}), and no upstream was idle enough for "
             "requests beyond it"
         )
+    if line.fields.get("is_over_share") == "True":
+        return (
+            f"the organisation had {line.number('standing'):.2f} of its share; one "
+            "that had less would have been admitted"
+        )
     if line.fields.get("has_room") == "False":
         return "the best upstream had no free slot or no memory left"
     return "more load than the upstreams can serve within the objective"
--- a/tests/gateway/test_story.py
+++ b/tests/gateway/test_story.py
@@ -58,6 +58,26 @@
     assert "upstream_crashed" in story.cause and "upstream=u2" in story.cause
 
 
+def test_a_request_refused_for_its_prompt_is_explained_by_the_crashes():
+    refused = (
+        "time=103.000 level=warning event=prompt_refused router=r2 request=cc "
+        "operation=op organisation=north reason=blocked parts=eb64 n_crashes=2 "
+        "retry_after_s=19.5"
+    )
+    ended = ENDED.replace("request=bb", "request=cc").replace("101.901", "103.001")
+    story = _tell("cc", refused, ended)
+    assert "crashed in 2 trials of parts eb64" in story.cause
+    assert "19.5 s" in story.cause
+
+
+def test_a_refusal_for_the_share_and_one_for_lack_of_room_differ():
+    line = REFUSED.replace("standing=1.53", "standing=0.80")
+    told = _tell("aa", line.replace("level=100 ", "level=100 is_over_share=True "))
+    assert "0.80 of its share" in told.cause
+    told = _tell("aa", line.replace("level=100 ", "level=100 is_over_share=False "))
+    assert "more load than" in told.cause
+
+
 def test_a_late_stream_is_explained_by_its_pause_and_the_load():
     story = _tell("bb", SENT.format("Served", "status 200"))
     assert "0.707" in story.cause and "10/2/1.00" in story.cause
