Part the prompt trials and the crash monitor from the forwarder

Cause: forward.py had grown to 617 lines with three jobs. Tests of gateway, quarantine and poison pass.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -14,6 +14,7 @@
 from chicorylead.application import Application
 from chicorylead.errors import Refusal
 from chicorylead.gateway.admission import AdmissionController
+from chicorylead.gateway.crash_monitor import CrashMonitor
 from chicorylead.gateway.directory import Directory
 from chicorylead.gateway.follower import OnRecord, OnSnapshot, StreamFollower
 from chicorylead.gateway.forward import Forwarder
@@ -21,6 +22,7 @@
 from chicorylead.gateway.local_router import GatewayRouter
 from chicorylead.gateway.peer_records import PeerRecords
 from chicorylead.gateway.peer_state import PeerState, work_report
+from chicorylead.gateway.prompt_trials import PromptTrials
 from chicorylead.gateway.records_age import RecordsAge
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
@@ -139,13 +141,13 @@
         forwarder = Forwarder(
             admission,
             self._poison,
-            self._quarantine,
+            PromptTrials(self._quarantine, self.log, self._metrics, rng),
+            CrashMonitor(self._poison, self._quarantine, self.log, self._metrics),
             cfg.bounds,
             self._queue_report,
             lambda: 1 + len(self._peers.state_peers()),
             self.log,
             self._metrics,
-            rng,
         )
         self._ingress = Ingress(
             forwarder,
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -1,9 +1,8 @@
 """Forwards admitted requests to upstreams, with retries and stream resumption."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from random import Random
 
 from chicorylead.admission.cost import pool_demand
 from chicorylead.admission.placement import Placement
@@ -14,22 +13,17 @@
     AdmissionController,
     Admitted,
 )
-from chicorylead.gateway.crash_probe import CrashProbe
+from chicorylead.gateway.crash_monitor import CrashMonitor, fingerprint_of_request
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
+from chicorylead.gateway.prompt_trials import PromptTrials
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
 from chicorylead.gateway.settings import Bounds
-from chicorylead.ids import PromptPartId, ServiceName, UpstreamId
+from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.outcome.poison import PoisonList, fingerprint_of
-from chicorylead.outcome.prompt_quarantine import (
-    Blocked,
-    Free,
-    Held,
-    PromptQuarantine,
-    Trial,
-)
+from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.prompt_quarantine import Free, Trial
 from chicorylead.traffic.model import RepeatPolicy
 from chicorylead.traffic.request import ForwardRequest
 from chicorylead.upstream.answer import AnswerHead
@@ -43,10 +37,6 @@
 STALL_TIMEOUT_FACTOR = 3.0  # times the expected wait; slower counts as stalled
 STALL_TIMEOUT_MIN_S = 0.8  # twice a typical latency objective
 MIN_REMAINING_S = 0.03  # with less time left, no upstream can answer
-SUSPECT_TTL_S = 60.0  # callers retry such a request within seconds
-# Routers that lose requests in one crash start a trial each, unless one is told first.
-TRIAL_SPREAD_S = 0.04
-MAX_TRIAL_WAIT_S = 1.5  # for another request's trial; several times what one takes
 
 
 @dataclass(slots=True)
@@ -81,7 +71,8 @@
     Args:
         admission: Selects upstreams, and refuses requests that would be late.
         poison: Requests under which upstreams crashed.
-        quarantine: Prompt parts under which engines crashed.
+        trials: Decides about prompts that may crash engines.
+        crashes: Records under which requests upstreams crashed.
         bounds: Limits of the retry budget.
         on_sent: Called with each prompt that is sent to an engine.
         n_routers: Returns the number of routers that share the retry budget.
@@ -91,13 +82,13 @@
         self,
         admission: AdmissionController,
         poison: PoisonList,
-        quarantine: PromptQuarantine,
+        trials: PromptTrials,
+        crashes: CrashMonitor,
         bounds: Bounds,
         on_sent: OnSent,
         n_routers: Callable[[], int],
         log: EventLog,
         metrics: Metrics,
-        rng: Random,
     ) -> None:
         self._admission = admission
         self._poison = poison
@@ -106,14 +97,10 @@
         self._n_routers = n_routers
         self._log = log
         self._metrics = metrics
-        self._rng = rng
         self._clock = asyncio.get_running_loop().time
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._probe = CrashProbe()
-        self._crash_checks: set[asyncio.Task[None]] = set()
-        self._quarantine = quarantine
-        self._quarantine.on_doubt = self._withdraw
-        self._in_flight: dict[PromptPartId, set[Sender]] = {}
+        self._trials = trials
+        self._crashes = crashes
 
     def accept(self, req: ForwardRequest) -> Accepted:
         """Admit a request and select its first upstream, without waiting.
@@ -121,17 +108,14 @@
         Raises:
             Refusal: The request is not admitted.
         """
-        fingerprint = _fingerprint(req)
+        fingerprint = fingerprint_of_request(req)
         if self._poison.is_blocked(fingerprint):
             raise Refusal(
                 ErrorKind.POISON,
                 "this request has crashed upstreams",
                 self._poison.notice(fingerprint).ttl_s,
             )
-        decision = self._quarantine.decide(req.shared_parts)
-        if isinstance(decision, Held | Blocked):
-            self._metrics.count("prompts.refused", reason=_reason(decision))
-            raise self._quarantine_refusal(req, decision)
+        self._trials.check(req)
         self._budget(req.service).record_request()
         try:
             admitted = self._admission.admit(req)
@@ -164,9 +148,9 @@
         placement: Placement | None = accepted.admitted.placement
         try:
             while True:
-                decision = self._quarantine.decide(req.shared_parts)
-                if not isinstance(decision, Free):
-                    decision = await self._wait_for_trial(req, progress)
+                decision: Free | Trial = Free()
+                if not self._trials.is_free(req):
+                    decision = await self._trials.wait(req, progress.n_runs > 0)
                     placement = self._place_trial(req, decision, progress)
                 elif placement is None:
                     placement = self._place_again(req, progress)
@@ -187,81 +171,16 @@
             )
         return placement
 
-    # -- prompts in doubt
-
-    async def _wait_for_trial(
-        self, req: ForwardRequest, progress: _Progress
-    ) -> Free | Trial:
-        """Wait while another request runs as a trial of parts of this one's prompt.
-
-        Raises:
-            Refusal: The prompt is blocked, or the trial takes too long.
-        """
-        ends_at = min(self._clock() + MAX_TRIAL_WAIT_S, req.answer_deadline)
-        await asyncio.sleep(self._rng.uniform(0.0, TRIAL_SPREAD_S))
-        while True:
-            decision = self._quarantine.decide(req.shared_parts)
-            left_s = ends_at - self._clock()
-            match decision:
-                case Free() | Trial():
-                    return decision
-                case Held() if left_s > 0:
-                    await self._quarantine.wait_for_change(left_s)
-                case _:
-                    refusal = self._quarantine_refusal(req, decision)
-                    if progress.n_runs == 0:
-                        raise refusal
-                    raise Refusal(ErrorKind.UPSTREAM_FAILED, refusal.detail)
-
     def _place_trial(
         self, req: ForwardRequest, decision: Free | Trial, progress: _Progress
     ) -> Placement:
         """Place a trial where a crash ends few requests, and no other trial."""
         if isinstance(decision, Free):
             return self._place_again(req, progress)
-        excluded = progress.excluded | self._quarantine.trial_upstreams()
+        excluded = progress.excluded | self._trials.upstreams()
         placement = self._admission.place_apart(req, excluded)
         return placement or self._place_again(req, progress)
 
-    def _quarantine_refusal(
-        self, req: ForwardRequest, decision: Held | Blocked
-    ) -> Refusal:
-        reason = _reason(decision)
-        self._log.warning(
-            "prompt_refused",
-            request=req.id,
-            operation=req.operation.name,
-            organisation=req.organisation,
-            reason=reason,
-            parts=_format_parts(decision.parts),
-            n_crashes=decision.n_crashes if isinstance(decision, Blocked) else 0,
-            retry_after_s=decision.retry_after_s,
-        )
-        detail = (
-            "engines crashed under a part of this prompt"
-            if isinstance(decision, Blocked)
-            else "a part of this prompt is checked after a crash of an engine"
-        )
-        return Refusal(ErrorKind.POISON, detail, decision.retry_after_s)
-
-    def _withdraw(self, parts: frozenset[PromptPartId]) -> None:
-        """Withdraw requests with parts in doubt from engines, before they begin."""
-        for part in parts:
-            for sender in list(self._in_flight.get(part, ())):
-                sender.withdraw()
-
-    def _add_in_flight(self, req: ForwardRequest, sender: Sender) -> None:
-        for part in req.shared_parts:
-            self._in_flight.setdefault(part, set()).add(sender)
-
-    def _remove_in_flight(self, req: ForwardRequest, sender: Sender) -> None:
-        for part in req.shared_parts:
-            senders = self._in_flight.get(part)
-            if senders is not None:
-                senders.discard(sender)
-                if not senders:
-                    del self._in_flight[part]
-
     def _budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -306,24 +225,18 @@
             first_s,
             event_s,
             self._on_sent,
-            lambda: self._record_answering(req, sender),
+            lambda: self._trials.record_answering(req, sender),
         )
         progress.n_sends += 1
         started = self._clock()
-        trial = self._start_trial(req, placement, decision)
+        trial = self._trials.begin(req, decision, sender)
         try:
-            if trial is None and req.may_repeat:
-                self._add_in_flight(req, sender)
             outcome = await sender.send()
             self._log_send(req, placement, progress, outcome, started, sender)
             if _is_broken(outcome):
-                await self._check_crash(
-                    placement.upstream, req, progress, sender, trial
-                )
+                await self._crashes.check(placement.upstream, req, sender, trial)
         finally:
-            self._remove_in_flight(req, sender)
-            if trial is not None:
-                self._quarantine.end_trial(trial)
+            self._trials.end(req, sender, trial)
         match outcome:
             case Served():
                 return True
@@ -442,93 +355,6 @@
             reason=reason,
         )
 
-    async def _check_crash(
-        self,
-        upstream: LiveUpstream,
-        req: ForwardRequest,
-        progress: _Progress,
-        sender: Sender,
-        trial: str | None,
-    ) -> None:
-        """Record whether an upstream crashed under a request.
-
-        A request that may have caused the crash waits for the result, so that it does
-        not run again before its parts are in doubt.
-        """
-        check = asyncio.ensure_future(
-            self._record_crash(upstream, req, progress.fingerprint, sender, trial)
-        )
-        self._crash_checks.add(check)
-        check.add_done_callback(self._crash_checks.discard)
-        may_be_cause = not sender.is_answering and any(
-            self._quarantine.answered_age_s(part) is None for part in req.shared_parts
-        )
-        if trial is not None or may_be_cause:
-            await asyncio.shield(check)
-
-    async def _record_crash(
-        self,
-        upstream: LiveUpstream,
-        req: ForwardRequest,
-        fingerprint: str,
-        sender: Sender,
-        trial: str | None,
-    ) -> None:
-        if not await self._probe.has_crashed(upstream):
-            return
-        part_ages = self._part_ages(req)
-        born_ms = upstream.entry.born_ms
-        is_explained = self._quarantine.explains(upstream.id, born_ms)
-        is_suspect = not sender.is_answering and (trial is not None or not is_explained)
-        doubted: frozenset[PromptPartId] = frozenset()
-        if is_suspect:
-            doubted = self._quarantine.record_crash(
-                upstream.id, born_ms, req.shared_parts, trial
-            )
-            self._poison.record_crash(fingerprint, upstream.id, SUSPECT_TTL_S)
-        self._log.warning(
-            "upstream_crashed",
-            upstream=upstream.id,
-            born_ms=born_ms,
-            request=req.id,
-            fingerprint=fingerprint,
-            n_crashes=len(self._poison.crashed_upstreams(fingerprint)),
-            is_suspect=is_suspect,
-            first_event_s=sender.first_event_s,
-            parts=part_ages,
-            doubted=_format_parts(doubted),
-            trial=trial,
-        )
-
-    def _record_answering(self, req: ForwardRequest, sender: Sender) -> None:
-        self._remove_in_flight(req, sender)
-        self._quarantine.record_answer(req.shared_parts)
-
-    def _start_trial(
-        self, req: ForwardRequest, placement: Placement, decision: Free | Trial
-    ) -> str | None:
-        if isinstance(decision, Free):
-            return None
-        upstream = placement.upstream.id
-        trial = self._quarantine.start_trial(decision.parts, upstream)
-        self._metrics.count("prompts.trials")
-        self._log.warning(
-            "prompt_trial",
-            request=req.id,
-            trial=trial,
-            upstream=upstream,
-            parts=_format_parts(decision.parts),
-        )
-        return trial
-
-    def _part_ages(self, req: ForwardRequest) -> str:
-        """Format the shared parts, each with the time since it was last answered."""
-        ages = ((p, self._quarantine.answered_age_s(p)) for p in req.shared_parts)
-        return ",".join(
-            f"{part.hex()}:{'never' if age_s is None else format(age_s, '.3f')}"
-            for part, age_s in ages
-        )
-
     def _log_send(
         self,
         req: ForwardRequest,
@@ -593,25 +419,9 @@
             return str(failure)
 
 
-def _fingerprint(req: ForwardRequest) -> str:
-    """Return a digest of all that an upstream computes the answer from."""
-    prompt = req.head.prompt
-    parts = b",".join(part.id for part in prompt.parts) if prompt is not None else b""
-    call = f"{req.head.method} {req.head.path}"
-    return fingerprint_of(req.service, call, parts + b"\x00" + req.body)
-
-
 def _is_broken(outcome: Served | NotRun | Rejected | Broken) -> bool:
     match outcome:
         case Broken(failure=failure):
             return failure.kind is FailureKind.BROKEN
         case _:
             return False
-
-
-def _reason(decision: Held | Blocked) -> str:
-    return type(decision).__name__.lower()
-
-
-def _format_parts(parts: Iterable[PromptPartId]) -> str:
-    return ",".join(sorted(part.hex() for part in parts)) or "-"
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -7,6 +7,7 @@
 from chicorylead.admission.speed import ResponseTimes
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, SendOutcome, Served
 from chicorylead.gateway.reply import CallerReply
+from chicorylead.ids import UpstreamId
 from chicorylead.platform.upstream_wire import encode_request
 from chicorylead.traffic.request import ForwardRequest, PromptPart
 from chicorylead.upstream.answer import AnswerHead
@@ -82,6 +83,11 @@
         self.longest_pause_s = 0.0
         self.head: AnswerHead | None = None
 
+    @property
+    def upstream_id(self) -> UpstreamId:
+        """Return the id of the upstream."""
+        return self._upstream.id
+
     async def send(self) -> SendOutcome:
         """Send the request and forward its answer."""
         self._add_work()
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -22,11 +22,13 @@
 from chicorylead.errors import Refusal
 from chicorylead.gateway import forward as forward_module
 from chicorylead.gateway.admission import AdmissionController
+from chicorylead.gateway.crash_monitor import CrashMonitor
 from chicorylead.gateway.forward import Forwarder
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
+from chicorylead.gateway.prompt_trials import PromptTrials
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.gateway.settings import Bounds
-from chicorylead.ids import RequestId, ServiceName
+from chicorylead.ids import RequestId, RouterId, ServiceName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
@@ -124,18 +126,21 @@
         sent.append(message)
 
     reply = CallerReply(send, close_connection=False)
+    poison, metrics = PoisonList(Random(1)), Metrics()
+    quarantine = PromptQuarantine(RouterId("router-1"))
+    crashes = CrashMonitor(poison, quarantine, log, metrics)
+    crashes._probe = SimpleNamespace(has_crashed=_never_crashed)
     forwarder = Forwarder(
         admission,
-        PoisonList(Random(1)),
-        PromptQuarantine("router-1"),
+        poison,
+        PromptTrials(quarantine, log, metrics, Random(1)),
+        crashes,
         Bounds(),
         lambda upstream, parts: None,
         lambda: 1,
         log,
-        Metrics(),
-        Random(1),
+        metrics,
     )
-    forwarder._probe = SimpleNamespace(has_crashed=_never_crashed)
     _ScriptedSender.behaviour = behaviour
     req = _request(repeat, max_attempts, loop.time())
     try:
