Clear a request of crashes when an upstream answers it

Callers of a plain operation got 503 for 60 s if two upstreams were lost, for whatever reason, while the same request ran on each, as lookups that many callers make do. Cause: the gateway counted crashes against a request and never its answers. An answer now clears it, as in the router. The test failed before (503 in place of 200 after the second crash).

--- a/src/chicorylead/gateway/crash_monitor.py
+++ b/src/chicorylead/gateway/crash_monitor.py
@@ -63,6 +63,11 @@
         if trial is not None or self._may_be_cause(req, sender):
             await asyncio.shield(check)
 
+    def record_answer(self, fingerprint: str) -> None:
+        """Record that an upstream answers a request, which therefore is not poison."""
+        if self._poison.clear(fingerprint) is not None:
+            self._log.info("suspect_cleared", fingerprint=fingerprint)
+
     def _may_be_cause(self, req: ForwardRequest, sender: Sender) -> bool:
         return not sender.is_answering and any(
             self._quarantine.answered_age_s(part) is None for part in req.shared_parts
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -225,7 +225,7 @@
             first_s,
             event_s,
             self._on_sent,
-            lambda: self._trials.record_answering(req, sender),
+            lambda: self._record_answering(req, progress, sender),
         )
         progress.n_sends += 1
         started = self._clock()
@@ -254,6 +254,12 @@
         progress.excluded.add(placement.upstream.id)
         return False
 
+    def _record_answering(
+        self, req: ForwardRequest, progress: _Progress, sender: Sender
+    ) -> None:
+        self._trials.record_answering(req, sender)
+        self._crashes.record_answer(progress.fingerprint)
+
     def _timeouts(
         self,
         req: ForwardRequest,
--- a/tests/gateway/test_crash_attribution.py
+++ b/tests/gateway/test_crash_attribution.py
@@ -13,11 +13,14 @@
 
     Attributes:
         harness: Set once the upstreams run.
+        n_crashes: Crashes so far.
+        crashes_next: Whether the next request ends its upstream.
     """
 
     def __init__(self) -> None:
         self.harness: GatewayHarness | None = None
         self.n_crashes = 0
+        self.crashes_next = False
 
     async def crash(self, got: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         """End the upstream that received a request."""
@@ -27,6 +30,16 @@
                 await upstream.stop()
         writer.transport.abort()
 
+    async def crash_if_told(
+        self, got: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve a request, or end the upstream that received it."""
+        if self.crashes_next:
+            self.crashes_next = False
+            await self.crash(got, writer)
+        else:
+            writer.write(sealed_response(got, b"hello"))
+
     async def crash_under_one_path(
         self, got: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
@@ -67,6 +80,22 @@
     _run_check([scripts.crash_under_one_path] * 3, check)
 
 
+def test_a_request_that_is_answered_between_two_crashes_is_not_refused():
+    """Equal requests are in flight wherever an upstream is lost for another reason."""
+    scripts = _Scripts()
+
+    async def check(harness: GatewayHarness) -> None:
+        scripts.harness = harness
+        for _ in range(2):
+            scripts.crashes_next = True
+            await harness.call("/look/popular")
+            await asyncio.sleep(0.1)
+            assert (await harness.call("/look/popular"))[0] == 200
+        assert scripts.n_crashes == 2
+
+    _run_check([scripts.crash_if_told] * 4, check)
+
+
 def test_a_stream_that_had_begun_is_not_held_to_account_for_crashes():
     scripts = _Scripts()
 
