Let the soak crash upstreams by a part of prompts

A tenth of the soak's prompts hold a part that crashes each upstream that begins to answer it; the upstream is back after 1 s as a new incarnation.

--- a/src/chicorylead/standin/network.py
+++ b/src/chicorylead/standin/network.py
@@ -175,6 +175,14 @@
         port = route.server.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
 
+    def remove_route(self, name: str) -> None:
+        """Close a route, so that connections to its address are refused."""
+        route = self._routes.pop(name)
+        if route.server is not None:
+            route.server.close()
+        for conn in list(route.conns):
+            conn.close()
+
     def apply(self, rule: LinkRule) -> int:
         """Apply a rule and return the number of routes that it affects."""
         matching = [
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,8 @@
         "--seconds", type=float, default=8.0, help="time with faults, seconds"
     )
     parser.add_argument("--keep", help="folder for settings and logs of the routers")
+    parser.add_argument("--routers", type=int, default=3, help="number of processes")
+    parser.add_argument("--upstreams", type=int, default=4)
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     n_failed = 0
@@ -24,7 +26,9 @@
         with tempfile.TemporaryDirectory() as scratch:
             folder = Path(args.keep or scratch) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-            result = asyncio.run(run_seed(seed, args.seconds, folder))
+            result = asyncio.run(
+                run_seed(seed, args.seconds, folder, args.routers, args.upstreams)
+            )
         n_failed += bool(result.violations)
         sys.stdout.write(f"seed {seed}: {result}\n")
         sys.stdout.flush()
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -1,6 +1,7 @@
 """Upstreams and callers of the soak test, outside the processes under test."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from tests.gateway.fakes import ReceivedRequest, encode_request, sealed_response
@@ -20,6 +21,9 @@
 EVENT_INTERVAL_S = 0.02
 MAX_WORK_S = 0.03
 DEADLINE_MS = 2500
+DEADLY_PART = "dead"
+DEADLY_RATIO = 0.1  # of the requests with a prompt
+PREFILL_S = 0.02
 PATHS = {"look": "GET", "publish": "POST", "revise": "POST"}
 
 
@@ -30,12 +34,19 @@
         id: Its id in the registry.
         ledger: Records the runs.
         fault_ratio: Fraction of the requests that it refuses or answers badly.
+        on_crash: Called when a request crashes it.
     """
 
     def __init__(
-        self, id: str, ledger: Ledger, rng: Random, fault_ratio: float
+        self,
+        id: str,
+        ledger: Ledger,
+        rng: Random,
+        fault_ratio: float,
+        on_crash: Callable[[str], None],
     ) -> None:
         self.id = id
+        self._on_crash = on_crash
         self.fault_ratio = fault_ratio
         self._ledger = ledger
         self._rng = rng
@@ -47,6 +58,11 @@
         if received.headers.get("chicorylead-expect-instance") != self.id:
             writer.write(WRONG_INSTANCE)
             return
+        if f"{DEADLY_PART}:" in received.headers.get("chicorylead-prefix-hash", ""):
+            self._ledger.deadly_at.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(PREFILL_S)
+            self._on_crash(self.id)
+            return
         draw = self._rng.random()
         if draw < self.fault_ratio / 4:
             writer.write(NOT_RUN)
@@ -120,12 +136,14 @@
         kind = self._rng.choice(list(PATHS))
         self._ledger.record_sent(request_id, kind)
         body = b"" if PATHS[kind] == "GET" else b"x"
+        headers = self._prompt_headers() if kind == "revise" else {}
         data = encode_request(
             f"/{kind}/a",
             PATHS[kind],
             body,
             chicorylead_attempt_id=request_id,
             chicorylead_deadline_ms=str(DEADLINE_MS),
+            **headers,
         )
         status, answer, whole = 0, b"", False
         try:
@@ -137,6 +155,17 @@
         if status == 200 and whole:
             self.last_success_at = asyncio.get_running_loop().time()
 
+    def _prompt_headers(self) -> dict[str, str]:
+        """Return the headers of a prompt, of which some hold the deadly part."""
+        shared = ["aa:100", self._rng.choice(("b1:100", "b2:100", "b3:100"))]
+        if self._rng.random() < DEADLY_RATIO:
+            shared.append(f"{DEADLY_PART}:100")
+        own = f"{self._rng.getrandbits(48):012x}:50"
+        return {
+            "chicorylead_prefix_hash": ",".join([*shared, own]),
+            "chicorylead_token_counts": f"{100 * len(shared) + 50},20",
+        }
+
     def _close(self) -> None:
         if self._conn is not None:
             self._conn[1].transport.abort()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -22,6 +22,7 @@
 __all__ = ["SoakFleet"]
 
 GRACE_S = 4.0
+CRASHED_FOR_S = 1.0
 
 
 class _Router:
@@ -135,6 +136,8 @@
         self._scripts: dict[str, SoakUpstream] = {}
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
+        self._born = 1000
         self.injected: list[str] = []
 
     # -- life cycle
@@ -160,9 +163,10 @@
 
     async def stop(self) -> None:
         """Cancel faults under way and stop everything that `start` started."""
-        for task in self._faults:
+        under_way = (*self._faults, *self._restarts)
+        for task in under_way:
             task.cancel()
-        await asyncio.gather(*self._faults, return_exceptions=True)
+        await asyncio.gather(*under_way, return_exceptions=True)
         for router in self.routers:
             await router.close()
         for upstream in self._upstreams.values():
@@ -188,16 +192,41 @@
     async def add_upstream(self) -> None:
         """Start an upstream and add it to the registry."""
         name = f"u{len(self._scripts)}"
-        script = SoakUpstream(name, self.ledger, Random(self._rng.random()), 0.08)
+        rng = Random(self._rng.random())
+        script = SoakUpstream(name, self.ledger, rng, 0.08, self._crash_upstream)
+        self._scripts[name] = script
+        await self._start_upstream(name, script)
+
+    async def _start_upstream(self, name: str, script: SoakUpstream) -> None:
         upstream = FakeUpstream(script)
         await upstream.start()
         address = await self._route(f"up-{name}", f"127.0.0.1:{upstream.port}")
-        self._upstreams[name], self._scripts[name] = upstream, script
-        self.store.put("keyed.servers", name, registry_entry(upstream, address=address))
+        self._upstreams[name] = upstream
+        self._born += 1
+        entry = registry_entry(upstream, address=address, born=self._born)
+        self.store.put("keyed.servers", name, entry)
+
+    def _crash_upstream(self, name: str) -> None:
+        """End an upstream with all its connections; it is back some time later."""
+        upstream = self._upstreams.pop(name, None)
+        if upstream is None:
+            return  # it has crashed already, or is no longer listed
+        self.ledger.crashed_at.append(asyncio.get_running_loop().time())
+        self.proxy.remove_route(f"up-{name}")
+        restart = asyncio.ensure_future(self._restart_upstream(name, upstream))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_upstream(self, name: str, crashed: FakeUpstream) -> None:
+        await crashed.stop()
+        await asyncio.sleep(CRASHED_FOR_S)
+        await self._start_upstream(name, self._scripts[name])
 
     def remove_upstream(self) -> None:
         """Remove the oldest upstream from the registry; it continues to serve."""
         listed = [name for name in self._upstreams if name in self._scripts]
+        if not listed:
+            return  # all have crashed
         name = listed[0]
         self.store.put("keyed.servers", name, None)
         self._upstreams[f"gone-{name}"] = self._upstreams.pop(name)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -6,6 +6,10 @@
 __all__ = ["Kind", "Ledger", "MAX_RUNS", "expected_body", "expected_events"]
 
 N_EVENTS = 8
+# Of a part of prompts that crashes upstreams: crashes from which it must be known, and
+# the requests with it that may reach upstreams later.
+N_CRASHES_TO_KNOW = 5
+MAX_DEADLY_AFTER = 3
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MAX_RUNS = {"look": 2, "publish": 1, "revise": 2}
 Kind = str
@@ -31,11 +35,15 @@
         runs: Number of runs that upstreams started, by request.
         statuses: Number of answers by status; status 0 means no answer.
         violations: Descriptions of violated guarantees.
+        deadly_at: Times at which a request that crashes upstreams reached one.
+        crashed_at: Times of these crashes.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
+    deadly_at: list[float] = field(default_factory=list)
+    crashed_at: list[float] = field(default_factory=list)
     _reported_not_run: dict[str, int] = field(default_factory=dict)
     _kinds: dict[str, Kind] = field(default_factory=dict)
 
@@ -84,6 +92,22 @@
                 f"{request}: unexpected partial stream {body[:200]!r}"
             )
 
+    def check_deadly(self, since: float) -> None:
+        """Check that few requests that crash upstreams reach any once they are known.
+
+        Args:
+            since: Time from which all routers run and reach each other.
+        """
+        if len(self.crashed_at) < N_CRASHES_TO_KNOW:
+            return
+        start = max(since, sorted(self.crashed_at)[N_CRASHES_TO_KNOW - 1])
+        n_after = sum(at > start for at in self.deadly_at)
+        if n_after > MAX_DEADLY_AFTER:
+            self.violations.append(
+                f"{n_after} requests with a part that crashes upstreams reached them "
+                f"after {len(self.crashed_at)} crashes"
+            )
+
     def check_end(self) -> None:
         """Check that no request ran that was reported as not run.
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -11,41 +11,53 @@
 
 N_CALLERS = 12
 READY_TIMEOUT_S = 10.0  # several processes start on a busy machine
+START_S = 0.5  # of processor time, for each further process
 # Callers time out after 2.5 s; the users' recovery takes 12 s.
 RECOVERY_S = 6.0
+STABLE_S = 3.0  # time without faults from which all routers must know of crashes
 
 
 @dataclass(frozen=True)
 class Result:
-    """Violations, injected faults and statuses of one seed."""
+    """Violations, injected faults, crashes and statuses of one seed."""
 
     violations: tuple[str, ...]
     injected: tuple[str, ...]
     statuses: dict[int, int]
+    n_crashes: int
 
     def __str__(self) -> str:
         summary = "; ".join(self.violations[:5]) or "no violations"
         return (
-            f"{summary}; {len(self.injected)} injected faults, statuses {self.statuses}"
+            f"{summary}; {len(self.injected)} injected faults, {self.n_crashes} "
+            f"crashes by requests, statuses {self.statuses}"
         )
 
 
-async def run_seed(seed: int, seconds: float, folder: Path) -> Result:
+async def run_seed(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    n_routers: int = 3,
+    n_upstreams: int = 4,
+) -> Result:
     """Run one seed.
 
     Args:
         seed: Seed of all random numbers; the timing of the processes is not seeded.
         seconds: Time with faults, seconds.
         folder: Where settings and logs are written.
+        n_routers: Number of processes.
+        n_upstreams: Number of upstreams at the start.
     """
     rng = Random(seed)
-    fleet = SoakFleet(rng, folder)
+    fleet = SoakFleet(rng, folder, n_routers, n_upstreams)
     now = asyncio.get_running_loop().time
     await fleet.start()
     callers = fleet.create_callers(N_CALLERS)
     tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
     try:
-        await _wait_until_served(callers, now() + READY_TIMEOUT_S)
+        await _wait_until_served(callers, now() + READY_TIMEOUT_S + n_routers * START_S)
         end = now() + seconds
         while now() < end:
             fleet.inject_fault()
@@ -64,10 +76,14 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await fleet.stop()
+    fleet.ledger.check_deadly(cleared_at + STABLE_S)
     fleet.ledger.check_end()
     ledger = fleet.ledger
     return Result(
-        tuple(ledger.violations), tuple(fleet.injected), dict(ledger.statuses)
+        tuple(ledger.violations),
+        tuple(fleet.injected),
+        dict(ledger.statuses),
+        len(ledger.crashed_at),
     )
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,6 +41,20 @@
     assert ledger.violations
 
 
+@pytest.mark.parametrize(
+    ("n_crashes", "n_after", "is_violation"),
+    [(5, 4, True), (5, 3, False), (4, 9, False)],
+)
+def test_the_ledger_detects_requests_that_go_on_crashing_upstreams(
+    n_crashes, n_after, is_violation
+):
+    ledger = Ledger()
+    ledger.crashed_at = [float(at) for at in range(n_crashes)]
+    ledger.deadly_at = [*ledger.crashed_at, *(20.0 + n for n in range(n_after))]
+    ledger.check_deadly(10.0)
+    assert bool(ledger.violations) is is_violation
+
+
 @pytest.mark.parametrize(
     ("body", "whole", "is_violation"),
     [
