--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -135,7 +135,7 @@
         request_id = f"{self._name}-{self._number}"
         kind = self._rng.choice(list(PATHS))
         self._ledger.record_sent(request_id, kind)
-        body = b"" if PATHS[kind] == "GET" else b"x"
+        body = b"" if PATHS[kind] == "GET" else request_id.encode()
         headers = self._prompt_headers() if kind == "revise" else {}
         data = encode_request(
             f"/{kind}/a",
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -34,6 +34,7 @@
     Attributes:
         runs: Number of runs that upstreams started, by request.
         statuses: Number of answers by status; status 0 means no answer.
+        n_streams: Number of whole streams that callers received.
         violations: Descriptions of violated guarantees.
         deadly_at: Times at which a request that crashes upstreams reached one.
         crashed_at: Times of these crashes.
@@ -41,6 +42,7 @@
 
     runs: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
+    n_streams: int = 0
     violations: list[str] = field(default_factory=list)
     deadly_at: list[float] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
@@ -83,6 +85,7 @@
 
     def _check_stream(self, request: str, body: bytes, whole: bool) -> None:
         expected = b"".join(expected_events(request, 1))
+        self.n_streams += whole and body == expected
         if whole and body != expected:
             self.violations.append(
                 f"{request}: unexpected complete stream {body[:200]!r}"
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -65,7 +65,11 @@
         await fleet.wait_for_faults()
         fleet.clear_faults()
         cleared_at = now()
-        await asyncio.sleep(RECOVERY_S)
+        await asyncio.sleep(RECOVERY_S / 2)
+        n_streams = fleet.ledger.n_streams
+        await asyncio.sleep(RECOVERY_S / 2)
+        if fleet.ledger.n_streams == n_streams:
+            fleet.ledger.violations.append("no stream is served after the faults")
         for caller in callers:
             if caller.last_success_at < cleared_at + RECOVERY_S / 2:
                 fleet.ledger.violations.append(
