Withdraw only requests that can run again

A request at its last allowed attempt was withdrawn from its engine as soon as a part of its prompt came into doubt, and its caller got 502, though another request with the part was the trial and most such parts are sound. It now stays where it is. The test failed before (502 in place of 200).

--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -229,7 +229,9 @@
         )
         progress.n_sends += 1
         started = self._clock()
-        trial = self._trials.begin(req, decision, sender)
+        runs_left = req.operation.max_attempts - progress.n_runs - 1
+        can_run_again = req.may_repeat and runs_left > 0
+        trial = self._trials.begin(req, decision, sender, can_run_again)
         try:
             outcome = await sender.send()
             self._log_send(req, placement, progress, outcome, started, sender)
--- a/src/chicorylead/gateway/prompt_trials.py
+++ b/src/chicorylead/gateway/prompt_trials.py
@@ -125,13 +125,21 @@
     # -- sends
 
     def begin(
-        self, req: ForwardRequest, decision: Free | Trial, sender: Sender
+        self,
+        req: ForwardRequest,
+        decision: Free | Trial,
+        sender: Sender,
+        can_run_again: bool,
     ) -> TrialId | None:
-        """Record a send; return the id of the trial if it is one."""
+        """Record a send; return the id of the trial if it is one.
+
+        Only requests that can run again are withdrawn: the others would fail, though
+        their prompt is likely sound.
+        """
         match decision:
             case Trial(parts=parts):
                 return self._start(req, parts, sender.upstream_id)
-            case Free() if req.may_repeat:
+            case Free() if can_run_again:
                 for part in req.shared_parts:
                     self._in_flight.setdefault(part, set()).add(sender)
         return None
--- a/tests/gateway/test_prompt_crashes.py
+++ b/tests/gateway/test_prompt_crashes.py
@@ -7,6 +7,7 @@
     FakeUpstream,
     ReceivedRequest,
     call,
+    configuration,
     registry_entry,
 )
 from tests.gateway.test_gateway import STREAM_HEAD
@@ -60,6 +61,11 @@
         writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n0\r\n\r\n")
         self._writers.discard(writer)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request runs."""
+        return bool(self._writers)
+
     async def crash(self) -> None:
         self.n_crashes += 1
         await self.stop()
@@ -210,6 +216,30 @@
     _run(check)
 
 
+def test_a_request_that_cannot_run_again_is_not_withdrawn():
+    """It would fail, though another request with the part runs as the trial."""
+
+    async def check(fleet: EngineFleet) -> None:
+        cfg = configuration(version=2)
+        for route in cfg["routeTable"]:
+            route["maxAttempts"] = 1
+        fleet.pair.store.put("keyed.op", "config", cfg)
+        await asyncio.sleep(0.5)
+        for engine in fleet.engines:
+            engine.prefill_s = 0.5
+        sends = []
+        for _ in range(2):
+            sends.append(asyncio.ensure_future(fleet.send(0, FIRST, RARE)))
+            await asyncio.sleep(0.1)
+        busy = [engine for engine in fleet.engines if engine.is_busy]
+        assert len(busy) == 2
+        await busy[0].crash()
+        statuses = sorted([(await send)[0] for send in sends])
+        assert statuses == [200, 502]
+
+    _run(check)
+
+
 def test_a_restarted_router_learns_of_the_part_from_its_peer():
     async def check(fleet: EngineFleet) -> None:
         for _ in range(8):
