--- a/src/chicorylead/outcome/prompt_quarantine.py
+++ b/src/chicorylead/outcome/prompt_quarantine.py
@@ -98,11 +98,14 @@
 
     @property
     def key(self) -> _CrashKey:
+        """Return the key under which it is kept."""
         return self.id, self.is_trial
 
 
 @dataclass(slots=True)
 class _RunningTrial:
+    """A trial at this router or a peer, until it ends or expires."""
+
     parts: Parts
     upstream: UpstreamId
     expires_at: float
