Let repeated prompt reports tell the age of a crash when they are sent

Found by reading: a report is sent three times within 0.2 s with the age of the first time, so that a crash looked newer at routers that had cleared it meanwhile, and the parts came back for a minute as answered before it. The test failed before (ages 0, 0, 0).

--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -16,6 +16,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from random import Random
 from typing import Protocol
 
@@ -68,6 +69,29 @@
 MAX_DATAGRAM_BYTES = 60_000  # below the UDP limit
 
 
+@dataclass(slots=True)
+class _RepeatedReport:
+    """A prompt report that is sent again some times.
+
+    Attributes:
+        made_at: Event-loop time at which it was made, seconds.
+        n_left: Times that it is still to be sent.
+    """
+
+    report: PromptReport
+    made_at: float
+    n_left: int = N_PROMPT_REPORTS - 1
+
+    def at(self, now: float) -> PromptReport:
+        """Return the report with the ages of its crashes at a later time."""
+        age_ms = round(1000 * (now - self.made_at))
+        crashes = [
+            msgspec.structs.replace(crash, age_ms=crash.age_ms + age_ms)
+            for crash in self.report.crashes
+        ]
+        return msgspec.structs.replace(self.report, crashes=crashes)
+
+
 class LocalRouter(Protocol):
     """What the protocol tells about this router, and where it reports its peers."""
 
@@ -162,7 +186,7 @@
         self._usage_sent_at = -USAGE_INTERVAL_S
         self._pending_reports: dict[str, SendReport] = {}
         self._has_prompt_news = False
-        self._repeated_reports: list[tuple[PromptReport, int]] = []
+        self._repeated_reports: list[_RepeatedReport] = []
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
             Beacon
@@ -383,14 +407,14 @@
         # A repeated start of a trial could follow its end.
         repeated = msgspec.structs.replace(report, trials=[])
         if repeated.crashes or repeated.answered:
-            self._repeated_reports.append((repeated, N_PROMPT_REPORTS - 1))
+            self._repeated_reports.append(_RepeatedReport(repeated, self._clock()))
 
     def _repeat_prompt_reports(self) -> None:
-        reports, self._repeated_reports = self._repeated_reports, []
-        for report, n_left in reports:
-            self._send_to_live(report)
-            if n_left > 1:
-                self._repeated_reports.append((report, n_left - 1))
+        now = self._clock()
+        for repeated in self._repeated_reports:
+            self._send_to_live(repeated.at(now))
+            repeated.n_left -= 1
+        self._repeated_reports = [r for r in self._repeated_reports if r.n_left > 0]
 
     def _send_crashes(self, host: str) -> None:
         """Tell a router that asks, as it has just started, what crashed engines."""
--- a/tests/gateway/test_fleet_sizes.py
+++ b/tests/gateway/test_fleet_sizes.py
@@ -299,6 +299,27 @@
     asyncio.run(main())
 
 
+def test_a_repeated_report_tells_the_age_of_the_crash_at_that_time():
+    """A crash that seems newer than it is outdates the answers since."""
+
+    async def main() -> None:
+        fleet = _Fleet(4)
+        fleet.introduce()
+        source, other, *_ = fleet.routers
+        fleet.routers[source].crashes = [CrashReport("u1@1", [b"part"], False, 0)]
+        fleet.run(0.5)
+        fleet.protocols[source].send_prompt_report()
+        fleet.run(0.5)
+        ages_ms = [
+            report.crashes[0].age_ms
+            for _, report in fleet.routers[other].prompt_reports
+        ]
+        assert len(ages_ms) >= 2
+        assert ages_ms == sorted(ages_ms) and ages_ms[-1] >= 80
+
+    asyncio.run(main())
+
+
 def test_a_router_that_starts_is_told_of_crashes_by_those_it_asks():
     async def main() -> None:
         fleet = _Fleet(30)
