Give crashes and trials id types of their own

Cause: read as a newcomer, ids of crashes, trials and requests were all str, and one alias stood in a module that is not about ids. CrashId and TrialId stand beside the others. "Past the start of its answer" is better English. No change of behaviour; tests of gateway and quarantine pass.

--- a/src/chicorylead/gateway/crash_monitor.py
+++ b/src/chicorylead/gateway/crash_monitor.py
@@ -8,9 +8,9 @@
 import asyncio
 
 from chicorylead.gateway.crash_probe import CrashProbe
-from chicorylead.gateway.prompt_trials import TrialId, format_parts
+from chicorylead.gateway.prompt_trials import format_parts
 from chicorylead.gateway.sender import Sender
-from chicorylead.ids import PromptPartId
+from chicorylead.ids import PromptPartId, TrialId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList, fingerprint_of
--- a/src/chicorylead/gateway/prompt_trials.py
+++ b/src/chicorylead/gateway/prompt_trials.py
@@ -11,7 +11,7 @@
 
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.gateway.sender import Sender
-from chicorylead.ids import PromptPartId, UpstreamId
+from chicorylead.ids import PromptPartId, TrialId, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.prompt_quarantine import (
@@ -23,9 +23,7 @@
 )
 from chicorylead.traffic.request import ForwardRequest
 
-__all__ = ["PromptTrials", "TrialId", "format_parts"]
-
-TrialId = str
+__all__ = ["PromptTrials", "format_parts"]
 
 # Routers that lose requests in one crash start a trial each, unless one is told first.
 START_SPREAD_S = 0.04
@@ -151,7 +149,7 @@
             self._quarantine.end_trial(trial)
 
     def record_answering(self, req: ForwardRequest, sender: Sender) -> None:
-        """Record that an upstream is past the begin of its answer."""
+        """Record that an upstream is past the start of its answer."""
         self._remove_in_flight(req, sender)
         self._quarantine.record_answer(req.shared_parts)
 
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -42,13 +42,13 @@
         first_timeout_s: Timeout for the first part of the answer, seconds.
         event_timeout_s: Timeout between parts, seconds.
         on_sent: Called with an engine and the parts of a prompt sent to it.
-        on_answering: Called once when the upstream is past the begin of its answer.
+        on_answering: Called once when the upstream is past the start of its answer.
 
     Attributes:
         first_event_s: Time from sending to the first event, seconds.
         longest_pause_s: Longest time between two events, seconds.
         head: Head of the answer.
-        is_answering: Whether the upstream is past the begin of its answer.
+        is_answering: Whether the upstream is past the start of its answer.
     """
 
     def __init__(
--- a/src/chicorylead/ids.py
+++ b/src/chicorylead/ids.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 __all__ = [
+    "CrashId",
     "ExchangeId",
     "Incarnation",
     "IdempotencyKey",
@@ -13,10 +14,12 @@
     "RequestId",
     "RouterId",
     "ServiceName",
+    "TrialId",
     "UpstreamId",
     "ZoneName",
 ]
 
+CrashId = NewType("CrashId", str)
 ExchangeId = NewType("ExchangeId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", int)
@@ -27,5 +30,6 @@
 RequestId = NewType("RequestId", str)
 RouterId = NewType("RouterId", str)
 ServiceName = NewType("ServiceName", str)
+TrialId = NewType("TrialId", str)
 UpstreamId = NewType("UpstreamId", str)
 ZoneName = NewType("ZoneName", str)
--- a/src/chicorylead/outcome/prompt_quarantine.py
+++ b/src/chicorylead/outcome/prompt_quarantine.py
@@ -21,14 +21,14 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from chicorylead.ids import PromptPartId, RouterId, UpstreamId
+from chicorylead.ids import CrashId, PromptPartId, RouterId, TrialId, UpstreamId
 from chicorylead.outcome.answered_parts import AnsweredParts
 from chicorylead.outcome.prompt_report import CrashReport, TrialReport
 
 __all__ = ["Blocked", "Decision", "Free", "Held", "PromptQuarantine", "Trial"]
 
 Parts = frozenset[PromptPartId]
-_CrashKey = tuple[str, bool]  # id of the crash, and whether it ended a trial
+_CrashKey = tuple[CrashId, bool]  # id of the crash, and whether it ended a trial
 
 N_CRASHES_TO_DOUBT = 3  # of parts that were answered before
 # A part that this router saw answered more recently is in frequent use, and sound.
@@ -91,7 +91,7 @@
         parts: Parts that may have caused it and were not answered since.
     """
 
-    id: str
+    id: CrashId
     is_trial: bool
     at: float
     parts: set[PromptPartId] = field(default_factory=set)
@@ -130,11 +130,11 @@
         self._answered = AnsweredParts()
         self._crashes: dict[_CrashKey, _Crash] = {}
         self._by_part: dict[PromptPartId, set[_CrashKey]] = {}
-        self._trials: dict[str, _RunningTrial] = {}
+        self._trials: dict[TrialId, _RunningTrial] = {}
         self._n_trials = 0
         self._changed = asyncio.Event()
         self._crash_news: set[_CrashKey] = set()
-        self._trial_news: dict[str, TrialReport] = {}
+        self._trial_news: dict[TrialId, TrialReport] = {}
         self._answered_news: set[PromptPartId] = set()
         self._answered_queue: set[PromptPartId] = set()
 
@@ -214,15 +214,15 @@
 
     # -- events at this router
 
-    def start_trial(self, parts: Parts, upstream: UpstreamId) -> str:
+    def start_trial(self, parts: Parts, upstream: UpstreamId) -> TrialId:
         """Record that a request runs as a trial; return the id of the trial."""
         self._n_trials += 1
-        trial_id = f"{self._router}:{self._n_trials}"
+        trial_id = TrialId(f"{self._router}:{self._n_trials}")
         self._set_trial(trial_id, parts, upstream)
         self._tell_trial(trial_id, parts, upstream)
         return trial_id
 
-    def end_trial(self, trial_id: str) -> None:
+    def end_trial(self, trial_id: TrialId) -> None:
         """Record the end of a trial of this router."""
         trial = self._trials.pop(trial_id, None)
         if trial is not None:
@@ -246,7 +246,7 @@
         upstream: UpstreamId,
         born_ms: int,
         parts: Sequence[PromptPartId],
-        trial_id: str | None = None,
+        trial_id: TrialId | None = None,
     ) -> Parts:
         """Record that an engine crashed under a request that had not begun its answer.
 
@@ -338,11 +338,13 @@
         if is_changed:
             self._wake()
 
-    def _set_trial(self, trial_id: str, parts: Parts, upstream: UpstreamId) -> None:
+    def _set_trial(self, trial_id: TrialId, parts: Parts, upstream: UpstreamId) -> None:
         expires_at = self._clock() + TRIAL_TIMEOUT_S
         self._trials[trial_id] = _RunningTrial(parts, upstream, expires_at)
 
-    def _tell_trial(self, trial_id: str, parts: Parts, upstream: UpstreamId) -> None:
+    def _tell_trial(
+        self, trial_id: TrialId, parts: Parts, upstream: UpstreamId
+    ) -> None:
         self._trial_news[trial_id] = TrialReport(trial_id, sorted(parts), upstream)
         self.on_news()
 
@@ -357,7 +359,8 @@
         now = self._clock()
         new = []
         for report in reports:
-            crash = _Crash(report.crash, report.is_trial, now - report.age_ms / 1000)
+            at = now - report.age_ms / 1000
+            crash = _Crash(CrashId(report.crash), report.is_trial, at)
             if self._merge_crash(crash, [PromptPartId(part) for part in report.parts]):
                 new.append(report)
         return new
@@ -367,8 +370,9 @@
         for report in reports:
             if report.upstream:
                 parts = frozenset(PromptPartId(part) for part in report.parts)
-                self._set_trial(report.trial, parts, UpstreamId(report.upstream))
-            elif self._trials.pop(report.trial, None) is not None:
+                upstream = UpstreamId(report.upstream)
+                self._set_trial(TrialId(report.trial), parts, upstream)
+            elif self._trials.pop(TrialId(report.trial), None) is not None:
                 self._wake()
 
     def apply_answered(self, answered: Iterable[bytes]) -> None:
@@ -406,6 +410,6 @@
         return CrashReport(crash.id, sorted(crash.parts), crash.is_trial, age_ms)
 
 
-def _crash_id(upstream: UpstreamId, born_ms: int) -> str:
+def _crash_id(upstream: UpstreamId, born_ms: int) -> CrashId:
     """Return an id that all routers give to the crash of one incarnation."""
-    return f"{upstream}@{born_ms}"
+    return CrashId(f"{upstream}@{born_ms}")
