--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -66,6 +66,7 @@
         connected_at: Event-loop time since which the store has been answering this
             router or the peer that supplies the records, seconds.
         source: Where the last records came from: the store, or the id of a peer.
+        answered_at: Event-loop time of the last answer of the store, seconds.
     """
 
     def __init__(
@@ -105,6 +106,8 @@
         self.is_connected = False
         self.connected_at = 0.0
         self.source = STORE_SOURCE
+        self.answered_at = float("-inf")
+        self._asked_at = float("-inf")
         self._retry_s = RETRY_MIN_S
 
     def page_since(self, start: Position) -> PeerPage:
@@ -177,6 +180,7 @@
     async def _read(self, offset: int, wait_s: float) -> StreamPage | None:
         """Read from the store; return None if the era changes meanwhile."""
         self._era_changed.clear()
+        self._asked_at = self._clock()
         read = asyncio.ensure_future(self._store.read(self.stream, offset, wait_s))
         changed = asyncio.ensure_future(self._era_changed.wait())
         try:
@@ -192,6 +196,7 @@
         Raises:
             StoreUnavailable: There is no usable answer.
         """
+        self._asked_at = self._clock()
         page = await self._store.newest(self.stream)
         if page.era < self.end.era:
             detail = f"the answer is of era {page.era}, after {self.end.era}"
@@ -320,6 +325,7 @@
             self._log.info("store_standby", stream=self.stream, end=self.end)
 
     def _mark_connected(self) -> None:
+        self.answered_at = self._clock()
         if not self.is_connected:
             self.is_connected = True
             self.connected_at = self._clock()
@@ -329,4 +335,11 @@
         self._metrics.count("store.errors")
         if self.is_connected:
             self.is_connected = False
-            self._log.warning("store_lost", stream=self.stream, reason=reason)
+            now = self._clock()
+            self._log.warning(
+                "store_lost",
+                stream=self.stream,
+                reason=reason,
+                asked_s=now - self._asked_at,
+                answered_s=now - self.answered_at,
+            )
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -88,12 +88,15 @@
     Attributes:
         logs: Keys and values by topic; offsets are positions in the list.
         era: Number of its histories; it rises with each return from a copy.
+        is_silent: Whether calls that arrive, and those that wait, get no answer, also
+            later.
     """
 
     def __init__(self) -> None:
         self.logs: dict[str, list[tuple[str, bytes]]] = {}
         self.era = 1
         self.is_down = False
+        self.is_silent = False
         self.n_calls = 0
         self._changed = asyncio.Event()
         self._server = HttpServer(
@@ -132,11 +135,16 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def _hang(self) -> None:
+        await asyncio.Event().wait()
+
     def _respond(self, body: bytes = b"", status: int = 200) -> Response:
         return Response(body, status, {"Store-Era": str(self.era)})
 
     async def _newest(self, req: Request) -> Response:
         self.n_calls += 1
+        if self.is_silent:
+            await self._hang()
         if self.is_down:
             return self._respond(status=503)
         log = self.logs.get(req.query_params["topic"], [])
@@ -151,6 +159,8 @@
 
     async def _read(self, req: Request) -> Response:
         self.n_calls += 1
+        if self.is_silent:
+            await self._hang()
         if self.is_down:
             return self._respond(status=503)
         start, era = int(req.query_params["from"]), self.era
@@ -162,6 +172,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
+            if self.is_silent:
+                await self._hang()
         log = self.logs.get(topic, [])
         if self.era != era or start > len(log):
             return self._respond(status=410)
--- a/tests/gateway/test_log_lines.py
+++ b/tests/gateway/test_log_lines.py
@@ -1,14 +1,8 @@
 """Log lines of requests, also while lines are dropped."""
 
 import asyncio
-import os
-from collections.abc import Iterator
-
-import pytest
-from absl import logging as absl_logging
 
 from chicorylead import log_output
-from chicorylead.log_output import LogOutput
 from tests.gateway.fakes import KEY, configuration
 from tests.gateway.test_gateway import (
     GatewayHarness,
@@ -21,41 +15,6 @@
 from tests.gateway.test_peers import GatewayPair, _wait_until
 
 
-class _LogCapture:
-    """Captures the log output through a pipe."""
-
-    def __init__(self) -> None:
-        self._reader, writer = os.pipe()
-        os.set_blocking(self._reader, False)
-        self._writer = writer
-        self.output: LogOutput | None = None
-
-    def open(self) -> None:
-        """Start capturing; needs a running event loop."""
-        self.output = LogOutput(self._writer)
-        absl_logging.get_absl_logger().addHandler(self.output)
-
-    def read(self) -> str:
-        self.output.close()
-        return os.read(self._reader, 1 << 20).decode()
-
-    def close(self) -> None:
-        if self.output is not None:
-            absl_logging.get_absl_logger().removeHandler(self.output)
-        os.close(self._reader)
-        os.close(self._writer)
-
-
-@pytest.fixture
-def log_capture() -> Iterator[_LogCapture]:
-    before = absl_logging.get_verbosity()
-    absl_logging.set_verbosity(absl_logging.INFO)
-    capture = _LogCapture()
-    yield capture
-    capture.close()
-    absl_logging.set_verbosity(before)
-
-
 def test_lines_of_failures_are_kept_when_info_lines_exceed_their_rate(
     log_capture, monkeypatch
 ):
