Draw a test router's ports apart from the one for its peers

test_a_router_that_starts_after_the_copy_gets_what_was_in_force_from_its_peer failed once with 'Address already in use' on listen. The port for peers, also used by the metrics over TCP, is drawn first and nothing listens on it while the router's other ports are drawn, so that they can be the same: 8 chances in 938 a pair of routers since each process has its own ports. The new test fails without the change.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -5,7 +5,7 @@
 import os
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 from random import SystemRandom
 
@@ -55,18 +55,22 @@
 HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4")
 
 
-def free_ports(n: int) -> list[int]:
+def free_ports(n: int, taken: Collection[int] = ()) -> list[int]:
     """Return random ports that are free on all hosts, for TCP and UDP.
 
     Other test runs on the machine pick ports as well, so the choice is random, and
     test processes choose among different ones.
+
+    Args:
+        n: Number of ports.
+        taken: Ports that were chosen before and on which nothing listens yet.
     """
     rng = SystemRandom()
     candidates = PORTS[os.getpid() % N_PORT_SETS :: N_PORT_SETS]
     ports: list[int] = []
     while len(ports) < n:
         port = rng.choice(candidates)
-        if port not in ports and _is_free(port):
+        if port not in ports and port not in taken and _is_free(port):
             ports.append(port)
     return ports
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -15,6 +15,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.traffic.stream import KnownRecords, PeerPage, Position, Stream
+from tests.gateway import fakes
 from tests.gateway.fakes import (
     FakeStore,
     FakeUpstream,
@@ -30,7 +31,7 @@
 
 def _settings(number: int, store_port: int, peer_port: int) -> GatewaySettings:
     host = f"127.0.0.{number}"
-    ports = free_ports(4)
+    ports = free_ports(4, taken=[peer_port])
     callers, readiness, control, directory = ((host, port) for port in ports)
     return GatewaySettings(
         id=RouterId(f"router-{number}"),
@@ -47,6 +48,16 @@
     )
 
 
+def test_a_routers_ports_differ_from_the_one_for_peers(monkeypatch):
+    """Otherwise its start fails now and then, as the port is in use."""
+    peer_port, *others = free_ports(5)
+    monkeypatch.setattr(fakes, "PORTS", [peer_port, *others] * fakes.N_PORT_SETS)
+    for _ in range(20):
+        cfg = _settings(2, 1, peer_port)
+        used = {cfg.callers, cfg.readiness, cfg.control, cfg.directory, cfg.metrics}
+        assert len(used) == 5
+
+
 async def _wait_until(check, limit_s: float = 5.0) -> None:
     async with asyncio.timeout(limit_s):
         while not await check():
