--- a/tests/gateway/test_store_silence.py
+++ b/tests/gateway/test_store_silence.py
@@ -10,6 +10,59 @@
 from chicorylead.metrics import Metrics
 from chicorylead.platform.configuration import revision_of_configuration
 from chicorylead.traffic.stream import StoreUnavailable, Stream, StreamPage
+from tests.gateway.fakes import configuration, registry_entry
+from tests.gateway.test_gateway import GatewayHarness, _run_check, _serve
+
+APPLY_S = 2.0  # the users' bound for a change
+STABLE_S = 3.0  # after this time without a disruption the bound holds
+
+
+async def _wait_for_status(
+    harness: GatewayHarness, status: int, limit_s: float
+) -> None:
+    async with asyncio.timeout(limit_s):
+        while (await harness.call("/look/a"))[0] != status:
+            await asyncio.sleep(0.02)
+
+
+async def _silence(harness: GatewayHarness, seconds: float) -> None:
+    """Let the store be silent, and let the time pass after which the bound holds."""
+    harness.store.is_silent = True
+    await asyncio.sleep(seconds)
+    harness.store.is_silent = False
+    await asyncio.sleep(STABLE_S)
+
+
+def _replace_credential(harness: GatewayHarness, version: int, key: str) -> None:
+    cfg = configuration(version)
+    cfg["tenants"] = [{"name": "north", "apiKeys": [key]}]
+    harness.store.put("keyed.op", "config", cfg)
+
+
+def test_a_change_after_the_store_was_silent_is_in_force():
+    """The first read after a change falls into the silence and is never answered."""
+
+    async def check(harness: GatewayHarness) -> None:
+        _replace_credential(harness, 2, "another")
+        await _wait_for_status(harness, 401, APPLY_S)
+        await _silence(harness, 0.6)
+        harness.store.put("keyed.op", "config", configuration(3))
+        await _wait_for_status(harness, 200, APPLY_S)
+
+    _run_check([_serve], check)
+
+
+def test_an_upstream_that_leaves_after_the_store_was_silent_gets_no_work():
+    async def check(harness: GatewayHarness) -> None:
+        entry = registry_entry(harness.upstreams[0], seq=2)
+        harness.store.put("keyed.servers", "u0", entry)
+        await asyncio.sleep(0.1)
+        await _silence(harness, 0.6)
+        entry = registry_entry(harness.upstreams[0], seq=3, state="draining")
+        harness.store.put("keyed.servers", "u0", entry)
+        await _wait_for_status(harness, 503, APPLY_S)
+
+    _run_check([_serve], check)
 
 
 class _Store:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -154,7 +154,8 @@
         self.store.put("keyed.op", "config", configuration())
         for _ in range(self._n_upstreams):
             await self.add_upstream()
-        peer_port, control_port = free_ports(2)
+        taken = [router.port for router in self.routers]
+        peer_port, control_port = free_ports(2, taken)
         for router in self.routers:
             number = router.number
             store = await self._route(f"store-{number}", f"127.0.0.1:{self.store.port}")
