--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -21,7 +21,6 @@
 from chicorylead.upstream.send_counts import SendCounts
 from tests.gateway.load_simulation import make_upstream
 from tests.gateway.test_gateway import _run_check
-from tests.gateway.test_log_lines import log_capture  # noqa: F401
 
 LIMITED = Notice(limit_per_s=5.0)
 
