Check records of the store while a read waits, so that a lost answer is noticed

Cause: a read that waits counted as current records, though a store that was silent, or lost one answer, never answers it. All routers waited 12 + 2 s and told each other an age of 0. The class of fault is a wait without a sign of life that counts as health. Change: records are current as of the last answer of the store, here or at a peer that knows no more than this router. At an age of 0.7 s a router reads both streams without waiting, each router at an age of its own, so that one does it for all; an answer with news replaces the read that waits, a failure marks the store as lost. Ages are learned only from peers that are not ahead, grow by 50 ms a hop, and come with pages of peers. A page that is not the end of the store's records is followed on at once, and is not current.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -101,7 +101,9 @@
             self.log,
         )
         self._serving = ServingRouters(cfg, self._live_peers, self._clock, self.log)
-        self._records_age = RecordsAge(lambda: self._followers.values(), self._clock)
+        self._records_age = RecordsAge(
+            lambda: self._followers.values(), self._clock, rng
+        )
         self._followers = {
             Stream.CONFIGURATION: self._make_follower(
                 Stream.CONFIGURATION,
@@ -223,6 +225,7 @@
             lambda: self._peers.send_heartbeats(),
             revision,
             self._handle_era,
+            self._records_age.check_due_s,
             self.log,
             self._metrics,
             rng,
--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -3,6 +3,11 @@
 Load pattern: hundreds of routers that each follow the same streams, though a few calls
 would bring the same records. A few routers of each zone read the store, and the others
 only if they have not heard for long that their records are current.
+
+A read that waits for records proves nothing until it is answered, and a store that was
+silent never answers the reads of that time. Records are therefore current as of the
+last answer. When no router has had one for a while, one of them reads without waiting
+and tells the others, so that the calls do not grow with the fleet.
 """
 
 import asyncio
@@ -23,15 +28,18 @@
     StreamTrimmed,
 )
 
-__all__ = ["OnRecord", "OnSnapshot", "Revision", "StreamFollower"]
+__all__ = ["HOP_S", "OnRecord", "OnSnapshot", "Revision", "StreamFollower"]
 
-# Calls are billed, so polls are long. A silent connection is detected sooner, and the
-# offsets that peers report show a router that it lacks records.
+# Calls are billed, so polls are long, and checked by reads that routers take in turn.
 LONG_POLL_S = 12.0
 READ_PAUSE_S = 0.25  # batches records; 1/8 of the time in which a change must apply
 RETRY_MIN_S = 0.1  # several retries within the time in which a change must apply
 RETRY_MAX_S = 0.6  # a recovered store is noticed well within 2 s
 STANDBY_CHECK_S = 0.1  # a twelfth of the age at which this router reads the store
+CHECK_PAUSE_S = 0.2  # meanwhile the checks of other streams are answered
+# What peers report ages on its way. Longer than a datagram takes, so that routers that
+# report to each other do not make their records look younger.
+HOP_S = 0.05
 STORE_SOURCE = "store"
 
 OnRecord = Callable[[StreamRecord], None]
@@ -52,11 +60,13 @@
         on_record: Called with each record that is newer than what was known.
         on_snapshot: Called with all live records at the start and after a gap.
         must_read: Returns whether this router has to read the store itself.
-        on_advanced: Called when records were added.
+        on_news: Called when records were added, or were found to be current.
         revision: Returns a number, or several, that rise with each change of what a
             record describes, whatever the history of the store; None for a malformed
             record.
         on_era: Called with the number of a history that is new to this follower.
+        check_due_s: Returns the time until the records of all streams have to be
+            checked, seconds; 0 if it is over.
 
     Attributes:
         end: Position up to which the stream is known.
@@ -67,6 +77,8 @@
             router or the peer that supplies the records, seconds.
         source: Where the last records came from: the store, or the id of a peer.
         answered_at: Event-loop time of the last answer of the store, seconds.
+        current_at: Event-loop time at which the store had no further records, as it
+            told this router or a peer, seconds.
     """
 
     def __init__(
@@ -76,9 +88,10 @@
         on_record: OnRecord,
         on_snapshot: OnSnapshot,
         must_read: Callable[[], bool],
-        on_advanced: Callable[[], None],
+        on_news: Callable[[], None],
         revision: Revision,
         on_era: Callable[[int], None],
+        check_due_s: Callable[[], float],
         log: EventLog,
         metrics: Metrics,
         rng: Random,
@@ -88,9 +101,10 @@
         self._on_record = on_record
         self._on_snapshot = on_snapshot
         self._must_read = must_read
-        self._on_advanced = on_advanced
+        self._on_news = on_news
         self._revision = revision
         self._on_era = on_era
+        self._check_due_s = check_due_s
         self._log = log
         self._metrics = metrics
         self._rng = rng
@@ -107,7 +121,10 @@
         self.connected_at = 0.0
         self.source = STORE_SOURCE
         self.answered_at = float("-inf")
+        self.current_at = float("-inf")
+        # Of the last call: when it was sent, and for which moment its answer holds.
         self._asked_at = float("-inf")
+        self._stated_at = float("-inf")
         self._retry_s = RETRY_MIN_S
 
     def page_since(self, start: Position) -> PeerPage:
@@ -124,7 +141,16 @@
             if is_snapshot or record.position >= start or record.era < start.era
         ]
         store_up_s = self._clock() - self.connected_at
-        return PeerPage(records, self.end, is_snapshot, store_up_s)
+        return PeerPage(records, self.end, is_snapshot, store_up_s, self.age_s)
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the records were known to be current, seconds."""
+        return self._clock() - self.current_at
+
+    def confirm(self, at: float) -> None:
+        """Learn that the records were current at an event-loop time."""
+        self.current_at = max(self.current_at, at)
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -142,7 +168,7 @@
                 # After a loss, poll without waiting: the answer shows that the store
                 # is back.
                 wait_s = LONG_POLL_S if self.is_connected else 0.0
-                page = await self._read(start.offset, wait_s)
+                page = await self._read(start, wait_s)
                 if page is None:
                     continue
                 if self._is_other_era(page.era, start):
@@ -151,8 +177,10 @@
                 self._retry_s = RETRY_MIN_S
                 self._mark_connected()
                 self.source = STORE_SOURCE
+                if not page.has_more:
+                    self.confirm(self._stated_at)
                 self.apply_page(page)
-                if page.records:
+                if page.records and not page.has_more:
                     await asyncio.sleep(READ_PAUSE_S)
             except StreamTrimmed as exc:
                 self._metrics.count("store.trimmed", stream=self.stream.value)
@@ -177,18 +205,69 @@
             self._needs_snapshot = True
             self._era_changed.set()
 
-    async def _read(self, offset: int, wait_s: float) -> StreamPage | None:
-        """Read from the store; return None if the era changes meanwhile."""
+    async def _read(self, start: Position, wait_s: float) -> StreamPage | None:
+        """Read from the store, with checks while the read waits.
+
+        Returns:
+            The answer of the read, or of a check that knows more; None if a peer has
+            told of a later era, or of records that the read should have brought.
+
+        Raises:
+            StoreUnavailable: The read or a check has no usable answer.
+            StreamTrimmed: Records from this position are no longer retained.
+        """
         self._era_changed.clear()
-        self._asked_at = self._clock()
-        read = asyncio.ensure_future(self._store.read(self.stream, offset, wait_s))
-        changed = asyncio.ensure_future(self._era_changed.wait())
+        read = asyncio.ensure_future(self._ask(start.offset, wait_s))
+        tasks = [read, asyncio.ensure_future(self._era_changed.wait())]
+        if wait_s:
+            tasks.append(asyncio.ensure_future(self._check_until_news(start)))
         try:
-            await asyncio.wait((read, changed), return_when=asyncio.FIRST_COMPLETED)
-            return read.result() if read.done() else None
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if read.done():
+                # One that waited tells how things are when it is answered.
+                self._stated_at = self._clock() if wait_s else self._asked_at
+                return read.result()
+            if wait_s and tasks[-1].done():
+                return tasks[-1].result()
+            return None
         finally:
-            read.cancel()
-            changed.cancel()
+            for task in tasks:
+                task.cancel()
+
+    async def _check_until_news(self, start: Position) -> StreamPage | None:
+        """Read without waiting whenever the records have to be checked.
+
+        Args:
+            start: Position of the read that waits meanwhile.
+
+        Returns:
+            An answer with news; None if the store answers, and should have answered the
+            read that waits as well.
+        """
+        while True:
+            await asyncio.sleep(self._check_wait_s())
+            if self._check_wait_s() > 0:
+                continue
+            self._metrics.count("store.checks", stream=self.stream.value)
+            page = await self._ask(self.end.offset, 0.0)
+            self._stated_at = self._asked_at
+            if page.records or page.era != start.era:
+                self._metrics.count("store.missed", stream=self.stream.value)
+                return page
+            self.answered_at = self._clock()
+            self.confirm(self._stated_at)
+            self._on_news()
+            if self.end > start:
+                return None
+
+    def _check_wait_s(self) -> float:
+        """Return the time until this stream has to be checked, seconds."""
+        asked_s = self._clock() - self._asked_at
+        return max(self._check_due_s(), CHECK_PAUSE_S - asked_s)
+
+    async def _ask(self, offset: int, wait_s: float) -> StreamPage:
+        self._asked_at = self._clock()
+        return await self._store.read(self.stream, offset, wait_s)
 
     async def _read_snapshot(self) -> None:
         """Read the newest records of all keys.
@@ -214,6 +293,7 @@
             # Upstreams whose entries were lost write them again, as after an outage.
             self.connected_at = self._clock()
         self.source = STORE_SOURCE
+        self.confirm(self._asked_at)
         self._apply_snapshot(page)
         self._needs_snapshot = False
 
@@ -265,7 +345,7 @@
             )
         if page.position > self.end:
             self.end = page.position
-            self._on_advanced()
+            self._on_news()
         return n_new
 
     def _is_newer(self, record: StreamRecord, known: StreamRecord) -> bool:
@@ -288,11 +368,16 @@
         """Apply the records of a peer."""
         is_later_era = page.end.era > self.end.era
         is_earlier_era = page.end.era < self.end.era
+        store_back_at = self._clock() - page.store_up_s
         if not self.is_connected or is_later_era:
-            self.connected_at = self._clock() - page.store_up_s
+            self.connected_at = store_back_at
+        else:
+            # A read that still waits has not noticed the outage that the peer has.
+            self.connected_at = max(self.connected_at, store_back_at)
         if is_later_era:
             self._on_era(page.end.era)
         self.source = peer
+        self.confirm(self._clock() - page.age_s - HOP_S)
         records = StreamPage(page.records, page.end.offset, page.end.era)
         n_new = self.apply_page(records)
         if page.is_snapshot and not is_earlier_era:
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -167,15 +167,21 @@
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Learn from a peer how current the records are."""
-        self._records_age.learn(heartbeat.records_age_ms / 1000)
-        self._learn_known(heartbeat.known)
+        if not self._learn_known(heartbeat.known):
+            self._records_age.learn(heartbeat.records_age_ms / 1000)
 
     def drop_peer(self, peer: str) -> None:
         """Remove the state of a lost peer."""
         self._serving.handle_change()
         self._state.drop_peer(peer)
 
-    def _learn_known(self, theirs: KnownRecords) -> None:
+    def _learn_known(self, theirs: KnownRecords) -> bool:
+        """Learn how far a peer knows the streams; return whether this router lacks any.
+
+        Records that are current at the peer are then not current here.
+        """
         own = self._known()
-        if any(theirs.is_ahead_of(own, stream) for stream in Stream):
+        is_behind = any(theirs.is_ahead_of(own, stream) for stream in Stream)
+        if is_behind:
             self._on_news()
+        return is_behind
--- a/src/chicorylead/platform/store.py
+++ b/src/chicorylead/platform/store.py
@@ -156,6 +156,7 @@
     if len(body) < _OFFSETS.size:
         raise StoreUnavailable(f"log-read: response has only {len(body)} bytes")
     records: list[StreamRecord] = []
+    store_end, _ = _OFFSETS.unpack_from(body)
     position = _OFFSETS.size
     offset = start
     while position + _LENGTH.size <= len(body):
@@ -167,7 +168,7 @@
         position += length
         records.append(_decode_keyed(data, offset, era))
         offset += 1
-    return StreamPage(records, offset, era)
+    return StreamPage(records, offset, era, has_more=offset < store_end)
 
 
 def _decode_keyed(data: bytes, offset: int, era: int) -> StreamRecord:
--- a/src/chicorylead/traffic/stream.py
+++ b/src/chicorylead/traffic/stream.py
@@ -1,6 +1,7 @@
 """Streams of keyed records that the fleet follows, and the pages read from them."""
 
 from enum import Enum
+from math import inf
 from typing import NamedTuple, Protocol
 
 from msgspec import Struct
@@ -95,11 +96,13 @@
 
     Attributes:
         era: History that the offset belongs to.
+        has_more: Whether the store had further records when it answered.
     """
 
     records: list[StreamRecord]
     end: int
     era: int = 0
+    has_more: bool = False
 
     @property
     def position(self) -> Position:
@@ -114,12 +117,15 @@
         end: Position up to which they are complete.
         is_snapshot: Whether keys that are missing were removed.
         store_up_s: Time for which the store has been answering, seconds.
+        age_s: Time since the records were known to be current, seconds; infinite if a
+            peer of an earlier release does not tell.
     """
 
     records: list[StreamRecord]
     end: Position
     is_snapshot: bool
     store_up_s: float
+    age_s: float = inf
 
 
 class StoreUnavailable(Exception):
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -1,6 +1,7 @@
 """Upstreams that may get work while the registry and the store change."""
 
 import asyncio
+import math
 from random import Random
 
 import msgspec
@@ -157,6 +158,7 @@
         lambda: None,
         lambda record: None,
         lambda era: None,
+        lambda: math.inf,
         EventLog(),
         Metrics(),
         Random(1),
--- a/tests/gateway/test_serving_routers.py
+++ b/tests/gateway/test_serving_routers.py
@@ -1,6 +1,8 @@
 """Which routers read the store, and what the others take from their peers."""
 
 import asyncio
+import math
+from collections.abc import Callable
 from random import Random
 from types import SimpleNamespace
 
@@ -45,6 +47,7 @@
         lambda: None,
         lambda record: None,
         lambda era: None,
+        lambda: math.inf,
         EventLog(),
         Metrics(),
         Random(1),
@@ -90,19 +93,52 @@
     asyncio.run(main())
 
 
+class _Follower:
+    """A follower whose records were current at some time."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self.current_at = float("-inf")
+
+    @property
+    def age_s(self) -> float:
+        return self._clock() - self.current_at
+
+    def confirm(self, at: float) -> None:
+        self.current_at = max(self.current_at, at)
+
+
 def test_records_age_while_no_reader_is_heard():
     now = 0.0
-    follower = SimpleNamespace(is_connected=False)
-    age = RecordsAge(lambda: [follower], lambda: now)
+    followers = [_Follower(lambda: now), _Follower(lambda: now)]
+    age = RecordsAge(lambda: followers, lambda: now, Random(1))
     assert age.is_too_high
     age.learn(0.2)
     assert not age.is_too_high
     now = MAX_AGE_S
     assert age.is_too_high
-    follower.is_connected = True
+    # The oldest stream decides.
+    followers[0].confirm(now)
+    assert age.is_too_high
+    followers[1].confirm(now)
     assert age.seconds() == 0.0
 
 
+def test_routers_that_report_to_each_other_do_not_make_their_records_younger():
+    now = 0.0
+    ages = [
+        RecordsAge(lambda follower=follower: [follower], lambda: now, Random(1))
+        for follower in (_Follower(lambda: now), _Follower(lambda: now))
+    ]
+    ages[0].learn(0.0)
+    for _ in range(20):
+        for teller, learner in (ages, ages[::-1]):
+            told_s = teller.seconds()
+            now += 0.04  # longer than between regions
+            learner.learn(told_s)
+    assert min(age.seconds() for age in ages) >= now
+
+
 def _serving(n_peers: int, n_zones: int) -> tuple[ServingRouters, SimpleNamespace]:
     world = SimpleNamespace(now=0.0, peers=[])
     world.peers = [
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -1,6 +1,7 @@
 """A store that comes back from a copy, so that offsets are given out again."""
 
 import asyncio
+import math
 from random import Random
 
 import msgspec
@@ -228,6 +229,7 @@
         lambda: None,
         revision_of_configuration,
         lambda era: None,
+        lambda: math.inf,
         EventLog(),
         Metrics(),
         Random(1),
--- a/tests/gateway/test_store_silence.py
+++ b/tests/gateway/test_store_silence.py
@@ -1,17 +1,25 @@
 """A store that falls silent for a while and never answers the calls of that time."""
 
 import asyncio
+import math
 from random import Random
 
 import pytest
 
-from chicorylead.gateway.follower import StreamFollower
+from chicorylead.gateway.follower import HOP_S, READ_PAUSE_S, StreamFollower
+from chicorylead.gateway.records_age import CHECK_AGE_S, CHECK_JITTER, MAX_AGE_S
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.platform.configuration import revision_of_configuration
-from chicorylead.traffic.stream import StoreUnavailable, Stream, StreamPage
+from chicorylead.traffic.stream import (
+    StoreUnavailable,
+    Stream,
+    StreamPage,
+    StreamRecord,
+)
 from tests.gateway.fakes import configuration, registry_entry
 from tests.gateway.test_gateway import GatewayHarness, _run_check, _serve
+from tests.gateway.test_peers import GatewayPair, _wait_until
 
 APPLY_S = 2.0  # the users' bound for a change
 STABLE_S = 3.0  # after this time without a disruption the bound holds
@@ -65,6 +73,86 @@
     _run_check([_serve], check)
 
 
+def test_a_change_that_a_lost_read_has_missed_is_in_force():
+    """Nothing but the answer of one read is lost, and the store goes on."""
+
+    async def check(harness: GatewayHarness) -> None:
+        _replace_credential(harness, 2, "another")
+        await _wait_for_status(harness, 401, APPLY_S)
+        harness.store.is_silent = True
+        await asyncio.sleep(READ_PAUSE_S + 0.05)
+        harness.store.is_silent = False
+        harness.store.put("keyed.op", "config", configuration(3))
+        await _wait_for_status(harness, 200, APPLY_S)
+
+    _run_check([_serve], check)
+
+
+def test_one_router_checks_the_records_for_all():
+    """The users bill each call."""
+
+    async def main() -> int:
+        async with GatewayPair() as pair:
+
+            async def serve() -> bool:
+                statuses = [await pair.look_up_status(number) for number in (0, 1)]
+                return statuses == [200, 200]
+
+            await _wait_until(serve)
+            await asyncio.sleep(2.0)
+            before = pair.store.n_calls + pair.other_store.n_calls
+            await asyncio.sleep(4.0)
+            return pair.store.n_calls + pair.other_store.n_calls - before
+
+    least_age_s = CHECK_AGE_S * (1 - CHECK_JITTER) - HOP_S
+    n_streams = len(Stream)
+    # A tenth more for polls that end, and for checks of two routers at the same moment.
+    assert asyncio.run(main()) <= 1.1 * n_streams * 4.0 / least_age_s
+
+
+def test_the_age_that_peers_are_told_rises_while_a_read_waits():
+    async def check(harness: GatewayHarness) -> None:
+        await asyncio.sleep(READ_PAUSE_S + 0.1)
+        harness.store.is_silent = True
+        await asyncio.sleep(MAX_AGE_S + 0.9)  # a check may be answered at first
+        assert harness.gateway._records_age.is_too_high
+
+    _run_check([_serve], check)
+
+
+def test_pages_that_lack_records_follow_on_at_once_and_are_not_current():
+    async def main() -> tuple[int, float]:
+        store = _PagedStore(n_pages=8)
+        follower = _follower(store)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return store.n_reads, follower.age_s
+
+    n_reads, age_s = asyncio.run(main())
+    assert n_reads >= 8  # a pause of 0.25 s after each would take 2 s
+    assert age_s >= 0.05  # no page has reached the end, only the snapshot before
+
+
+class _PagedStore:
+    """Has more records than one answer holds."""
+
+    def __init__(self, n_pages: int) -> None:
+        self._n_pages = n_pages
+        self.n_reads = 0
+
+    async def newest(self, stream: Stream) -> StreamPage:
+        return StreamPage([], 0, 0)
+
+    async def read(self, stream: Stream, start: int, wait_s: float) -> StreamPage:
+        await asyncio.sleep(0.001)
+        self.n_reads += 1
+        if self.n_reads > self._n_pages:
+            await asyncio.Event().wait()
+        record = StreamRecord("config", b'{"version":%d}' % (start + 1), start)
+        return StreamPage([record], start + 1, has_more=True)
+
+
 class _Store:
     """Answers one read, and fails the next after some time."""
 
@@ -83,7 +171,7 @@
         return StreamPage([], 0, 0)
 
 
-def _follower(store: _Store) -> StreamFollower:
+def _follower(store: _Store | _PagedStore) -> StreamFollower:
     return StreamFollower(
         store,
         Stream.CONFIGURATION,
@@ -93,6 +181,7 @@
         lambda: None,
         revision_of_configuration,
         lambda era: None,
+        lambda: math.inf,
         EventLog(),
         Metrics(),
         Random(1),
