Tell software versions, and which attempt's stream a request takes up

Entries of upstreams carry their software version, without which they name no upstream; upstream_listed and request_sent tell it, and request_sent tells the attempt that it resumes and the event after which it does. No placement changes.

--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -242,8 +242,11 @@
         can_run_again = req.may_repeat and runs_left > 0
         trial = self._trials.begin(req, decision, sender, can_run_again)
         try:
+            after_event = progress.events.last_id
             outcome = await sender.send()
-            self._log_send(req, placement, progress, outcome, started, sender)
+            self._log_send(
+                req, placement, progress, outcome, started, sender, after_event
+            )
             if _is_broken(outcome):
                 await self._crashes.check(placement.upstream, req, sender, trial)
         finally:
@@ -380,6 +383,7 @@
         outcome: Served | NotRun | Rejected | Broken,
         started: float,
         sender: Sender,
+        after_event: str | None,
     ) -> None:
         name = type(outcome).__name__.lower()
         self._metrics.count("sends", upstream=placement.upstream.id, outcome=name)
@@ -401,6 +405,9 @@
             operation=req.operation.name,
             organisation=req.organisation,
             upstream=placement.upstream.id,
+            version=placement.upstream.entry.version,
+            resumes=req.head.resumes,
+            after_event=after_event,
             send=progress.n_sends,
             pool=demand.pool,
             amount=demand.amount,
--- a/src/chicorylead/ids.py
+++ b/src/chicorylead/ids.py
@@ -14,6 +14,7 @@
     "RequestId",
     "RouterId",
     "ServiceName",
+    "SoftwareVersion",
     "TrialId",
     "UpstreamId",
     "ZoneName",
@@ -30,6 +31,7 @@
 RequestId = NewType("RequestId", str)
 RouterId = NewType("RouterId", str)
 ServiceName = NewType("ServiceName", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 TrialId = NewType("TrialId", str)
 UpstreamId = NewType("UpstreamId", str)
 ZoneName = NewType("ZoneName", str)
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -30,6 +30,8 @@
 _PROMPT_PARTS = b"chicorylead-prefix-hash"
 _OUTPUT_ESTIMATE = b"chicorylead-length-hint"
 _LAST_EVENT_ID = b"last-event-id"
+# The attempt that brought the first event, also after several broken answers.
+_RESUMES = b"resumes"
 _CREDENTIAL_SCHEME = b"token "
 
 _CONNECTION_HEADERS = frozenset(
@@ -113,6 +115,7 @@
         raise Refusal(ErrorKind.BAD_REQUEST, "the request id is missing")
     host = values.get(b"host", b"").decode("latin-1").lower()
     last_event = values.get(_LAST_EVENT_ID)
+    resumes = values.get(_RESUMES)
     return CallerHead(
         request_id=RequestId(request_id),
         method=method,
@@ -123,6 +126,7 @@
         deadline_s=_parse_deadline(values.get(_TIME_LEFT)),
         prompt=_prompt(values),
         last_event_id=None if last_event is None else last_event.decode("latin-1"),
+        resumes=None if resumes is None else RequestId(resumes.decode("latin-1")),
         forwarded=tuple(forwarded),
     )
 
--- a/src/chicorylead/platform/registry.py
+++ b/src/chicorylead/platform/registry.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from chicorylead.ids import ServiceName, UpstreamId, ZoneName
+from chicorylead.ids import ServiceName, SoftwareVersion, UpstreamId, ZoneName
 from chicorylead.traffic.stream import StreamRecord
 from chicorylead.upstream.registered import ListedState, RegisteredUpstream
 
@@ -18,6 +18,7 @@
     service: str
     address: str
     zone: str
+    version: str
     slots: Annotated[int, Meta(ge=1)]
     state: Literal["ready", "draining"]
     seq: int
@@ -59,6 +60,7 @@
         host=host,
         port=int(port),
         zone=ZoneName(entry.zone),
+        version=SoftwareVersion(entry.version),
         n_slots=entry.slots,
         state=ListedState.READY if entry.state == "ready" else ListedState.LEAVING,
         born_ms=entry.born,
--- a/src/chicorylead/traffic/request.py
+++ b/src/chicorylead/traffic/request.py
@@ -52,6 +52,8 @@
         deadline_s: Time that the caller waits, seconds; None if not given.
         forwarded: Header lines passed to the upstream unchanged.
         last_event_id: Id of the last event that the caller received.
+        resumes: Id of the caller's attempt that brought the first event of the stream
+            which it takes up.
     """
 
     request_id: RequestId
@@ -63,6 +65,7 @@
     deadline_s: float | None
     prompt: Prompt | None
     last_event_id: str | None
+    resumes: RequestId | None
     forwarded: tuple[tuple[bytes, bytes], ...]
 
 
--- a/src/chicorylead/upstream/registered.py
+++ b/src/chicorylead/upstream/registered.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from chicorylead.ids import ServiceName, UpstreamId, ZoneName
+from chicorylead.ids import ServiceName, SoftwareVersion, UpstreamId, ZoneName
 
 __all__ = ["ListedState", "RegisteredUpstream"]
 
@@ -21,6 +21,7 @@
 
     Attributes:
         host: IP address; may be reused by another upstream later.
+        version: Version of its software, not of a model's weights.
         n_slots: Largest number of requests that it runs at once.
         born_ms: Wall-clock time of its start, milliseconds; 0 if not given. An
             upstream restarted under the same id has lost all its state.
@@ -32,6 +33,7 @@
     host: str
     port: int
     zone: ZoneName
+    version: SoftwareVersion
     n_slots: int
     state: ListedState
     born_ms: int
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -152,6 +152,7 @@
             service=entry.service,
             address=f"{entry.host}:{entry.port}",
             zone=entry.zone,
+            version=entry.version,
             state=entry.state,
             born_ms=entry.born_ms,
             sequence=entry.sequence,
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -288,6 +288,7 @@
         "service": "app",
         "address": f"127.0.0.1:{upstream.port}",
         "zone": "a",
+        "version": "v1",
         "slots": 8,
         "state": "ready",
         "seq": 1,
--- a/tests/gateway/load_simulation.py
+++ b/tests/gateway/load_simulation.py
@@ -20,6 +20,7 @@
     OrganisationId,
     PromptPartId,
     ServiceName,
+    SoftwareVersion,
     UpstreamId,
     ZoneName,
 )
@@ -99,6 +100,7 @@
         "127.0.0.1",
         1,
         ZoneName("a"),
+        SoftwareVersion("v1"),
         n_slots,
         ListedState.READY,
         born_ms=1,
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -102,7 +102,9 @@
         "op", "h", "/", repeat, False, 9.0, 0.4, 1, max_attempts, False, False,
         ((service, 1.0),),
     )  # fmt: skip
-    head = CallerHead(RequestId("r"), "POST", b"/", "/", "h", None, 9.0, None, None, ())
+    head = CallerHead(
+        RequestId("r"), "POST", b"/", "/", "h", None, 9.0, None, None, None, ()
+    )
     return ForwardRequest(head, b"x", operation, service, None, now, now + 9.0, 0.0)
 
 
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import msgspec
+import pytest
 
 from chicorylead.gateway.follower import StreamFollower
 from chicorylead.ids import ServiceName, UpstreamId
@@ -30,6 +31,7 @@
         "service": "app",
         "address": "127.0.0.1:1",
         "zone": "a",
+        "version": "v1",
         "slots": 8,
         "state": "ready",
         "seq": 1,
@@ -189,3 +191,13 @@
         assert [record.key for record in seen] == ["k", "m"]
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("version", [None, 3, ["v1"]])
+def test_an_entry_without_a_software_version_names_no_upstream(version):
+    def check() -> None:
+        registry = _registry()
+        registry.apply_record(StreamRecord("u0", _value(version=version), 0))
+        assert _ready(registry) == []
+
+    _run_in_loop(check)
