--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -31,6 +31,7 @@
 from chicorylead.traffic.stream import KnownRecords
 
 __all__ = [
+    "INCARNATION",
     "FakeRouter",
     "FakeStore",
     "FakeUpstream",
@@ -45,6 +46,8 @@
     "sealed_response",
 ]
 
+# Nanoseconds: the routers start long after the upstreams, which are born at 1 s.
+INCARNATION = 10**15
 HOST = "phrases.example"
 KEY = "key-of-north"
 
@@ -91,6 +94,8 @@
 
     Attributes:
         logs: Keys and values by topic; offsets are positions in the list.
+        plain_logs: Records of the topics without keys.
+        n_appends: Number of appends so far.
         era: Number of its histories; it rises with each return from a copy.
         is_silent: Whether calls that arrive, and those that wait, get no answer, also
             later.
@@ -98,6 +103,8 @@
 
     def __init__(self) -> None:
         self.logs: dict[str, list[tuple[str, bytes]]] = {}
+        self.plain_logs: dict[str, list[bytes]] = {}
+        self.n_appends = 0
         self.era = 1
         self.is_down = False
         self.is_silent = False
@@ -108,6 +115,7 @@
                 [
                     Route("/api/log-newest", self._newest),
                     Route("/api/log-read", self._read),
+                    Route("/api/log-append", self._append, methods=["POST"]),
                 ]
             )
         )
@@ -132,6 +140,7 @@
         """Come back from a copy: later records are lost, offsets are given again."""
         self.logs.clear()
         self.logs.update({topic: list(log) for topic, log in copy.items()})
+        self.plain_logs.clear()
         self.era += 1
         self._wake()
 
@@ -169,6 +178,14 @@
             return self._respond(status=503)
         start, era = int(req.query_params["from"]), self.era
         topic = req.query_params["topic"]
+        if not topic.startswith("keyed."):
+            records = self.plain_logs.get(topic, [])
+            if start > len(records):
+                return self._respond(status=410)
+            body = struct.pack(">QQ", len(records), 0)
+            for data in records[start:]:
+                body += struct.pack(">I", len(data)) + data
+            return self._respond(body)
         if len(self.logs.get(topic, [])) == start:
             wait_s = int(req.query_params.get("waitMs", "0")) / 1000
             try:
@@ -187,6 +204,23 @@
             body += struct.pack(">I", len(data)) + data
         return self._respond(body)
 
+    async def _append(self, req: Request) -> Response:
+        self.n_calls += 1
+        body = await req.body()
+        if self.is_silent:
+            await self._hang()
+        if self.is_down:
+            return self._respond(status=503)
+        self.n_appends += 1
+        log = self.plain_logs.setdefault(req.query_params["topic"], [])
+        offset = len(log)
+        while body:
+            (length,) = struct.unpack_from(">I", body)
+            log.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        answer = {"offset": offset, "endOffset": len(log)}
+        return self._respond(msgspec.json.encode(answer))
+
 
 @dataclass
 class ReceivedRequest:
@@ -315,7 +349,7 @@
         store=("127.0.0.1", store.port),
         bounds=Bounds(shutdown_s=4.0),
     )
-    return Gateway(cfg, incarnation=1, read_settings=lambda: cfg)
+    return Gateway(cfg, incarnation=INCARNATION, read_settings=lambda: cfg)
 
 
 async def call(
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,7 @@
 """Two gateways that exchange datagrams, with and without the store."""
 
 import asyncio
+from collections.abc import Sequence
 from types import SimpleNamespace
 
 import msgspec
@@ -17,6 +18,7 @@
 from chicorylead.traffic.stream import KnownRecords, PeerPage, Position, Stream
 from tests.gateway import fakes
 from tests.gateway.fakes import (
+    INCARNATION,
     FakeStore,
     FakeUpstream,
     call,
@@ -91,7 +93,8 @@
             _settings(3, self.other_store.port, peer_port),
         ]
         self.gateways = [
-            Gateway(cfg, incarnation=1, read_settings=lambda: None) for cfg in self.cfgs
+            Gateway(cfg, incarnation=INCARNATION, read_settings=lambda: None)
+            for cfg in self.cfgs
         ]
         for gateway in self.gateways:
             await gateway.app.start()
@@ -106,12 +109,18 @@
 
     async def restart(self, number: int) -> None:
         """Replace a router by one that knows nothing."""
-        await self.gateways[number].app.stop()
-        await asyncio.sleep(0.05)  # its datagram socket is closed in a later iteration
-        self.gateways[number] = Gateway(
-            self.cfgs[number], incarnation=2, read_settings=lambda: None
-        )
-        await self.gateways[number].app.start()
+        await self.restart_all([number])
+
+    async def restart_all(self, numbers: Sequence[int] = (0, 1)) -> None:
+        """Replace routers, all at once, by ones that know nothing."""
+        for number in numbers:
+            await self.gateways[number].app.stop()
+        await asyncio.sleep(0.05)  # datagram sockets are closed in a later iteration
+        for number in numbers:
+            self.gateways[number] = Gateway(
+                self.cfgs[number], INCARNATION + 1, read_settings=lambda: None
+            )
+            await self.gateways[number].app.start()
 
     async def serves(self, number: int) -> bool:
         return self.gateways[number].n_upstreams > 0
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
-from tests.gateway.fakes import FakeUpstream, ReceivedRequest, registry_entry
+from tests.gateway.fakes import FakeUpstream, ReceivedRequest, call, registry_entry
 from tests.gateway.test_gateway import STREAM_HEAD, GatewayHarness, _run_check
+from tests.gateway.test_peers import GatewayPair, _wait_until
 
 Writer = asyncio.StreamWriter
 Script = Callable[[ReceivedRequest, Writer], Awaitable[None]]
@@ -70,3 +72,157 @@
     (line,) = log_capture.lines("request_sent")
     assert line["version"] == "v1"
     assert (line["resumes"], line["after_event"]) == ("first", "2")
+
+
+class _BreaksOnce:
+    """Makes scripts of which the first one that runs breaks its stream off."""
+
+    def __init__(self) -> None:
+        self.first: str | None = None
+
+    def script(self, version: str) -> Script:
+        async def script(got: ReceivedRequest, writer: Writer) -> None:
+            is_first = self.first is None
+            self.first = self.first or version
+            await _stream(version, break_after=2 if is_first else None)(got, writer)
+
+        return script
+
+
+def _versions_of(body: bytes) -> list[str]:
+    lines = body.decode().splitlines()
+    return [line.removeprefix("data: ") for line in lines if line.startswith("data")]
+
+
+def test_a_broken_stream_goes_on_at_its_version_within_its_answer():
+    versions = ["v1", "v2", "v1", "v2"]
+    breaks = _BreaksOnce()
+
+    async def check(harness: GatewayHarness) -> None:
+        await _use_versions(harness, *versions)
+        status, _, body, is_whole = await harness.call("/revise/a")
+        assert (status, is_whole) == (200, True)
+        assert _versions_of(body) == [breaks.first] * 4
+
+    _run_check([breaks.script(version) for version in versions], check)
+
+
+def test_a_broken_stream_is_cut_if_no_upstream_of_its_version_is_left():
+    breaks = _BreaksOnce()
+
+    async def check(harness: GatewayHarness) -> None:
+        await _use_versions(harness, "v1", "v2")
+        status, _, body, is_whole = await harness.call("/revise/a")
+        assert (status, is_whole) == (200, False)
+        assert set(_versions_of(body)) == {breaks.first}
+        assert harness.n_received == 1
+
+    _run_check([breaks.script("v1"), breaks.script("v2")], check)
+
+
+class _VersionedPair(GatewayPair):
+    """Two routers with two upstreams of each of two versions."""
+
+    async def __aenter__(self) -> "_VersionedPair":
+        await super().__aenter__()
+        self.breaks = _BreaksOnce()
+        self.upstreams: dict[str, FakeUpstream] = {}
+        self.other_store.plain_logs = self.store.plain_logs
+        for number, version in enumerate(("v1", "v2", "v1", "v2")):
+            upstream = FakeUpstream(self.breaks.script(version))
+            await upstream.start()
+            name = f"w{number}"
+            self.upstreams[name] = upstream
+            entry = registry_entry(upstream, version=version, service="app")
+            self.store.put("keyed.servers", name, entry)
+        self.store.put("keyed.servers", "u0", None)
+        await self.wait_for_upstreams()
+        return self
+
+    async def wait_for_upstreams(self) -> None:
+        async def are_listed() -> bool:
+            return all(
+                sorted(u.id for u in gateway._registry.all()) == sorted(self.upstreams)
+                and gateway._configuration is not None
+                for gateway in self.gateways
+            )
+
+        await _wait_until(are_listed)
+
+    async def revise(self, number: int, attempt: str, **headers: str):
+        host, port = self.cfgs[number].callers
+        return await call(
+            port,
+            "/revise/a",
+            host_ip=host,
+            chicorylead_attempt_id=attempt,
+            **headers,
+        )
+
+    async def take_up(self, number: int, attempt: str, resumes: str):
+        return await self.revise(number, attempt, resumes=resumes, last_event_id="2")
+
+    async def break_at(self, number: int, attempt: str) -> str:
+        """Let a stream and its resumption break off; return its version."""
+        original = {name: up.script for name, up in self.upstreams.items()}
+
+        async def break_off(version, got, writer) -> None:
+            if "last-event-id" in got.headers:
+                writer.transport.abort()
+            await _stream(version, break_after=2)(got, writer)
+
+        for name, upstream in self.upstreams.items():
+            version = "v1" if name in ("w0", "w2") else "v2"
+            upstream.script = partial(break_off, version)
+        _, _, body, is_whole = await self.revise(number, attempt)
+        assert not is_whole
+        for name, upstream in self.upstreams.items():
+            upstream.script = original[name]
+        self.breaks.first = "none"
+        return _versions_of(body)[0]
+
+
+def test_a_stream_that_is_taken_up_at_another_router_goes_on_at_its_version():
+    async def main() -> None:
+        async with _VersionedPair() as pair:
+            for number in range(6):
+                version = await pair.break_at(0, f"first-{number}")
+                await asyncio.sleep(0.1)
+                status, _, body, is_whole = await pair.take_up(
+                    1, f"second-{number}", f"first-{number}"
+                )
+                assert (status, is_whole) == (200, True)
+                assert _versions_of(body) == [version] * 2
+
+    asyncio.run(main())
+
+
+def test_streams_go_on_at_their_version_after_all_routers_were_restarted():
+    """No router knows them any more; only the store does."""
+
+    async def main() -> None:
+        async with _VersionedPair() as pair:
+            versions = {}
+            for number in range(6):
+                attempt = f"first-{number}"
+                versions[attempt] = await pair.break_at(number % 2, attempt)
+            await asyncio.sleep(1.0)
+            await pair.restart_all()
+            await pair.wait_for_upstreams()
+            await asyncio.sleep(0.5)
+            for attempt, version in versions.items():
+                status, _, body, _ = await pair.take_up(0, f"{attempt}-again", attempt)
+                assert (status, _versions_of(body)) == (200, [version] * 2)
+
+    asyncio.run(main())
+
+
+def test_a_stream_of_unknown_version_does_not_go_on_while_two_serve():
+    async def main() -> None:
+        async with _VersionedPair() as pair:
+            pair.breaks.first = "none"
+            status, _, _, _ = await pair.take_up(0, "second", "never-seen")
+            assert status == 503
+            assert all(not upstream.received for upstream in pair.upstreams.values())
+
+    asyncio.run(main())
