Resume a stream within its answer only at the version that began it

Cause: no part of a placement knew a software version; a broken stream was resumed at any upstream of its service. Change: once an event of a stream is forwarded, repeats, trials and placements apart of it are placed among upstreams of that version only; an entry with another version is another incarnation. If none is left, the answer is cut at once, so that the caller can take it up.

--- a/src/chicorylead/errors.py
+++ b/src/chicorylead/errors.py
@@ -37,6 +37,8 @@
     OVER_SHARE = "over_share"
     DEADLINE_IN_QUEUE = "deadline_in_queue"
     NO_UPSTREAM = "no_upstream"
+    VERSION_GONE = "version_gone"
+    STREAM_UNKNOWN = "stream_unknown"
     LOG_UNAVAILABLE = "log_unavailable"
     PUBLISH_UNKNOWN = "publish_unknown"
     NOT_READY = "not_ready"
@@ -82,6 +84,9 @@
     ErrorKind.OVER_SHARE: ErrorResponse(429, _NOT_RUN, 2),
     ErrorKind.DEADLINE_IN_QUEUE: ErrorResponse(503, _NOT_RUN, 2),
     ErrorKind.NO_UPSTREAM: ErrorResponse(503, _NOT_RUN, 2),
+    # A stream goes on only at the software version that began it.
+    ErrorKind.VERSION_GONE: ErrorResponse(503, _NOT_RUN),
+    ErrorKind.STREAM_UNKNOWN: ErrorResponse(503, _NOT_RUN),
     ErrorKind.LOG_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, 5),
     ErrorKind.PUBLISH_UNKNOWN: ErrorResponse(503, _UNKNOWN, 5),
     ErrorKind.NOT_READY: ErrorResponse(503, _NOT_RUN, 1),
--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -100,7 +100,7 @@
         self, req: ForwardRequest, share_ratio: float, excluded: Set[UpstreamId]
     ) -> Placement | None:
         """Return the upstream with the fewest requests; None if all are excluded."""
-        candidates = self._candidates(req.service, share_ratio, excluded)
+        candidates = self._candidates(req, share_ratio, excluded)
         fewest = min((u.work.n_requests for u in candidates), default=0)
         placement = place(
             [u for u in candidates if u.work.n_requests == fewest],
@@ -141,7 +141,12 @@
 
     def no_upstream(self, req: ForwardRequest, share_ratio: float) -> Refusal:
         """Return the refusal of a request for which no upstream takes requests now."""
-        ready = self._registry.ready(req.service)
+        ready = self._registry.ready(req.service, req.version)
+        if not ready and req.version is not None:
+            return Refusal(
+                ErrorKind.VERSION_GONE,
+                f"no upstream runs version {req.version!r}, which began the stream",
+            )
         if not ready:
             return Refusal(
                 ErrorKind.NO_UPSTREAM,
@@ -182,19 +187,19 @@
         self, req: ForwardRequest, share_ratio: float, excluded: Set[UpstreamId]
     ) -> Placement | None:
         """Return the best upstream; an excluded one only if no other is ready."""
-        candidates = self._candidates(req.service, share_ratio, excluded)
+        candidates = self._candidates(req, share_ratio, excluded)
         if not candidates and excluded:
-            candidates = self._candidates(req.service, share_ratio, NONE_EXCLUDED)
+            candidates = self._candidates(req, share_ratio, NONE_EXCLUDED)
         return place(
             candidates, req.head.prompt, self.response_times(req.service), self._clock()
         )
 
     def _candidates(
-        self, service: ServiceName, share_ratio: float, excluded: Set[UpstreamId]
+        self, req: ForwardRequest, share_ratio: float, excluded: Set[UpstreamId]
     ) -> list[LiveUpstream]:
         now = self._clock()
         used = share_use(share_ratio)
-        ready = self._registry.ready(service)
+        ready = self._registry.ready(req.service, req.version)
         taking = [
             u for u in ready if u.id not in excluded and self._wait_s(u, used) == 0.0
         ]
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from chicorylead.admission.cost import pool_demand
 from chicorylead.admission.placement import Placement
@@ -158,8 +158,12 @@
                     placement = self._place_trial(req, decision, progress)
                 elif placement is None:
                     placement = self._place_again(req, progress)
+                version = placement.upstream.entry.version
                 if await self._send(req, placement, decision, progress, reply):
                     return
+                if req.version is None and progress.events.n_events > 0:
+                    # What two versions write does not fit together.
+                    req = replace(req, version=version)
                 placement = None
         except Refusal:
             # If an upstream has answered, even with an error, forward that answer.
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -79,6 +79,8 @@
     ErrorKind.QUEUE_FULL: 503,
     ErrorKind.DEADLINE_IN_QUEUE: 503,
     ErrorKind.NO_UPSTREAM: 503,
+    ErrorKind.VERSION_GONE: 503,
+    ErrorKind.STREAM_UNKNOWN: 503,
     ErrorKind.NOT_READY: 503,
     ErrorKind.POISON: 503,
     ErrorKind.UPSTREAM_FAILED: 502,
--- a/src/chicorylead/traffic/request.py
+++ b/src/chicorylead/traffic/request.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-from chicorylead.ids import OrganisationId, PromptPartId, RequestId, ServiceName
+from chicorylead.ids import (
+    OrganisationId,
+    PromptPartId,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+)
 from chicorylead.traffic.model import Operation, RepeatPolicy
 
 __all__ = ["CallerHead", "ForwardRequest", "Prompt", "PromptPart"]
@@ -78,6 +84,8 @@
         answer_deadline: Event-loop time by which the final answer is due, seconds.
         waited_s: Time since the caller's first attempt, estimated from its
             deadline, seconds.
+        version: The only software version that may run it, as it goes on with a
+            stream; None for any.
     """
 
     head: CallerHead
@@ -88,6 +96,7 @@
     arrived_at: float
     answer_deadline: float
     waited_s: float
+    version: SoftwareVersion | None = None
 
     @property
     def id(self) -> RequestId:
@@ -99,6 +108,11 @@
         """Return the ids of the shared parts of its prompt, if it has one."""
         return () if self.head.prompt is None else self.head.prompt.shared_parts
 
+    @property
+    def takes_up(self) -> bool:
+        """Return whether it goes on with a stream that has broken off."""
+        return self.operation.is_stream and self.head.last_event_id is not None
+
     @property
     def may_repeat(self) -> bool:
         """Return whether the request may safely run twice."""
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from chicorylead.ids import ServiceName, UpstreamId
+from chicorylead.ids import ServiceName, SoftwareVersion, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.traffic.model import Configuration
 from chicorylead.traffic.stream import Position, StreamRecord
@@ -60,12 +60,20 @@
         """Return all live upstreams."""
         return self._live.values()
 
-    def ready(self, service: ServiceName) -> list[LiveUpstream]:
-        """Return the upstreams of a service that accept new work."""
+    def ready(
+        self, service: ServiceName, version: SoftwareVersion | None = None
+    ) -> list[LiveUpstream]:
+        """Return the upstreams of a service that accept new work.
+
+        Args:
+            service: The service.
+            version: Software version of the upstreams; None for any.
+        """
         return [
             upstream
             for upstream in self._live.values()
             if upstream.entry.service == service
+            and version in (None, upstream.entry.version)
             and upstream.entry.state is ListedState.READY
             and not upstream.intake.is_leaving
         ]
@@ -219,9 +227,8 @@
 
 
 def _is_restarted(entry: RegisteredUpstream, current: RegisteredUpstream) -> bool:
-    return (entry.born_ms, entry.host, entry.port, entry.service) != (
-        current.born_ms,
-        current.host,
-        current.port,
-        current.service,
-    )
+    return _identity(entry) != _identity(current)
+
+
+def _identity(entry: RegisteredUpstream) -> tuple[object, ...]:
+    return entry.born_ms, entry.host, entry.port, entry.service, entry.version
