Let streams be taken up only at the version that began them

What callers saw: ORDER; a stream that had broken off was taken up at any router and went on at any version, with nothing in the answer to show it, most of all after all routers were killed. Cause: a take-up was placed as a new request; the header that names the attempt which brought the first event was not read, and nobody remembered where a stream began. Change: each router remembers the streams that it begins. While several versions of a service serve, or did within 20 s, routers tell each other of the streams that they begin within 10 ms, and append them to a topic of the store every 0.3 s; streams that were under way when the second version appeared are told as well. A router that starts reads the topic first; one that gets a take-up of an unknown stream reads what is new in it. What is not known goes on if only one version has served for as long as streams last (a router that has just started needs an upstream born before that, and a log without another version), and is refused at once otherwise: 503, version_gone or stream_unknown, and a time to return only if the log is still to be read. Ids of other organisations, and ids of streams that began at two versions, are unknown. Weighed: asking peers on demand loses what a killed router knew, which is why streams are taken up; the log alone has a gap of the time between appends for each loss of a router; a write before the first event costs each stream an append. What remains of all three: streams begun in the last 0.3 s before all routers are lost are refused.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -28,12 +28,14 @@
 from chicorylead.gateway.records_age import RecordsAge
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
+from chicorylead.gateway.stream_journal import StreamJournal
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RouterId, ServiceName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import PromptQuarantine
+from chicorylead.outcome.stream_origins import StreamOrigins
 from chicorylead.peer.membership import Peer
 from chicorylead.peer.protocol import PeerProtocol
 from chicorylead.platform.configuration import (
@@ -42,6 +44,7 @@
 )
 from chicorylead.platform.registry import decode_upstream, revision_of_upstream
 from chicorylead.platform.store import StoreClient
+from chicorylead.platform.stream_log import StreamLog
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.model import Configuration
 from chicorylead.traffic.request import PromptPart
@@ -62,6 +65,7 @@
 # Refused callers retry on new connections and leave the old ones open. A process has a
 # few thousand file descriptors, and each connection takes 10 kB.
 MAX_KEPT_CONNECTIONS = 1_500
+NS_PER_MS = 1_000_000
 HTTP_IDLE_TIMEOUT_S = 20  # longer than callers leave a connection idle
 
 
@@ -70,7 +74,7 @@
 
     Args:
         cfg: Settings.
-        incarnation: Differs at each start.
+        incarnation: Wall-clock time of the start, nanoseconds.
         read_settings: Reads the settings again.
     """
 
@@ -136,24 +140,25 @@
             self.log,
             self._metrics,
         )
+        self._router = GatewayRouter(
+            cfg,
+            incarnation,
+            self._peer_state,
+            self._serving,
+            self._records_age,
+            self._poison,
+            self._quarantine,
+            self._notices,
+            self._known_records,
+            self._peer_records.wake,
+            self._clock,
+        )
         self._peers = PeerProtocol(
             incarnation,
             cfg.zone,
             cfg.peers,
             cfg.seeds,
-            GatewayRouter(
-                cfg,
-                incarnation,
-                self._peer_state,
-                self._serving,
-                self._records_age,
-                self._poison,
-                self._quarantine,
-                self._notices,
-                self._known_records,
-                self._peer_records.wake,
-                self._clock,
-            ),
+            self._router,
             self._clock,
             self.log,
             self._metrics,
@@ -161,6 +166,17 @@
         )
         self._notices.on_urgent_news = self._peers.queue_notices
         self._quarantine.on_news = self._peers.queue_prompt_report
+        self._journal = StreamJournal(
+            StreamOrigins(self._clock),
+            self._registry,
+            StreamLog(self._store),
+            lambda: 1 + len(self._peers.state_peers()),
+            incarnation // NS_PER_MS,
+            self.log,
+            self._metrics,
+        )
+        self._journal.on_begun = self._peers.send_streams
+        self._router.on_streams = self._journal.learn
         self._permits = Permits(cfg.id, self._state_peer_ids, self._clock)
         admission = AdmissionController(
             self._registry,
@@ -176,6 +192,7 @@
             PromptTrials(self._quarantine, self.log, self._metrics, rng),
             CrashMonitor(self._poison, self._quarantine, self.log, self._metrics),
             self._notices,
+            self._journal,
             cfg.bounds,
             self._queue_report,
             lambda: 1 + len(self._peers.state_peers()),
@@ -184,6 +201,7 @@
         )
         self._ingress = Ingress(
             forwarder,
+            self._journal,
             lambda: self._configuration,
             self._should_close,
             lambda: self._is_refusing,
@@ -249,6 +267,7 @@
             self.app.spawn(follower.run(), f"follow_{stream.value}")
         self.app.spawn(self._peers.run(), "beacons")
         self.app.spawn(self._peer_records.run(), "peer_records")
+        self.app.spawn(self._journal.run(), "stream_journal")
         self.app.spawn(self._close_stale_connections(), "idle_connections")
         self.app.spawn(self._log_shares(), "shares")
         self.log.info(
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -20,6 +20,7 @@
 from chicorylead.gateway.reply import CallerReply
 from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
 from chicorylead.gateway.settings import Bounds
+from chicorylead.gateway.stream_journal import StreamJournal
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
@@ -75,6 +76,7 @@
         trials: Decides about prompts that may crash engines.
         crashes: Records under which requests upstreams crashed.
         notices: Records what upstreams state in their answers.
+        journal: Records at which software versions streams begin.
         bounds: Limits of the retry budget.
         on_sent: Called with each prompt that is sent to an engine.
         n_routers: Returns the number of routers that share the retry budget.
@@ -87,6 +89,7 @@
         trials: PromptTrials,
         crashes: CrashMonitor,
         notices: NoticeRecorder,
+        journal: StreamJournal,
         bounds: Bounds,
         on_sent: OnSent,
         n_routers: Callable[[], int],
@@ -105,6 +108,7 @@
         self._trials = trials
         self._crashes = crashes
         self._notices = notices
+        self._journal = journal
 
     def accept(self, req: ForwardRequest) -> Accepted:
         """Admit a request and select its first upstream, without waiting.
@@ -237,6 +241,7 @@
             first_s,
             event_s,
             self._on_sent,
+            lambda: self._journal.begin(req, placement.upstream.entry.version),
             lambda: self._record_answering(req, progress, sender),
             self._notices,
         )
@@ -257,6 +262,7 @@
             self._trials.end(req, sender, trial)
         match outcome:
             case Served():
+                self._journal.end(req)
                 return True
             case NotRun():
                 self._handle_not_run(placement.upstream, progress, outcome)
--- a/src/chicorylead/gateway/ingress.py
+++ b/src/chicorylead/gateway/ingress.py
@@ -10,6 +10,7 @@
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.gateway.forward import Accepted, Forwarder
 from chicorylead.gateway.reply import CallerReply
+from chicorylead.gateway.stream_journal import StreamJournal
 from chicorylead.ids import OrganisationId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
@@ -30,6 +31,7 @@
 
     Args:
         forwarder: Forwards requests to upstreams.
+        journal: Knows at which software version a stream goes on.
         configuration: Returns the configuration in force, or None.
         should_close: Returns whether to close connections after their answers.
         is_refusing: Returns whether new requests are refused.
@@ -42,6 +44,7 @@
     def __init__(
         self,
         forwarder: Forwarder,
+        journal: StreamJournal,
         configuration: Callable[[], Configuration | None],
         should_close: Callable[[], bool],
         is_refusing: Callable[[], bool],
@@ -51,6 +54,7 @@
         rng: Random,
     ) -> None:
         self._forwarder = forwarder
+        self._journal = journal
         self._configuration = configuration
         self._should_close = should_close
         self._is_refusing = is_refusing
@@ -80,6 +84,7 @@
                 scope["method"], scope["chicorylead.target"], scope["headers"]
             )
             req = await self._read_request(head, receive)
+            req = await self._journal.pin(req)
             # An overloaded router reads requests whose callers have left; the close
             # of their connections shows in the next iteration of the event loop.
             await asyncio.sleep(0)
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -10,6 +10,7 @@
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import PromptQuarantine
 from chicorylead.outcome.prompt_report import PromptReport
+from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
@@ -44,6 +45,9 @@
         known: Returns how far this router knows the streams.
         on_news: Called when a peer knows records that this router lacks.
         clock: Returns the time of the event loop, seconds.
+
+    Attributes:
+        on_streams: Called with streams that a peer, of the id, began.
     """
 
     def __init__(
@@ -72,6 +76,9 @@
         self._on_news = on_news
         self._clock = clock
         self._had_state_at = float("-inf")
+        self.on_streams: Callable[[Sequence[BegunStream], str], None] = (
+            lambda streams, peer: None
+        )
 
     def make_presence(self, sequence: int, peers: list[str]) -> Presence:
         """Return the presence of this router."""
@@ -141,6 +148,10 @@
         """Apply what upstreams stated in answers to a live peer."""
         self._notices.apply_reports(peer, reports)
 
+    def apply_streams(self, peer: str, streams: Sequence[BegunStream]) -> None:
+        """Learn of streams that a live peer began."""
+        self.on_streams(streams, peer)
+
     def is_serving(self, peer: Peer) -> bool:
         """Return whether callers are told to use a peer."""
         return self._serving.is_serving(peer)
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -44,6 +44,7 @@
         event_timeout_s: Timeout between parts, seconds.
         on_sent: Called with an engine and the parts of a prompt sent to it, and with a
             limited upstream and no parts.
+        on_begun: Called before the first event of a stream is forwarded.
         on_answering: Called once when the upstream is past the start of its answer.
         notices: Records what the upstream states in the head of its answer.
 
@@ -64,6 +65,7 @@
         first_timeout_s: float,
         event_timeout_s: float,
         on_sent: OnSent,
+        on_begun: Callable[[], None],
         on_answering: Callable[[], None],
         notices: NoticeRecorder,
     ) -> None:
@@ -77,6 +79,7 @@
         self._first_timeout_s = first_timeout_s
         self._event_timeout_s = event_timeout_s
         self._on_sent = on_sent
+        self._on_begun = on_begun
         self._on_answering = on_answering
         self._notices = notices
         self._conn: Connection | None = None
@@ -227,6 +230,7 @@
                     self._record_answering()
             last_at = now
             if not self._reply.is_started:
+                self._on_begun()
                 await self._reply.start(head.status, head.headers)
             await self._reply.write(events)
         if self._events.has_partial or not self._reply.is_started:
--- /dev/null
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -0,0 +1,329 @@
+"""Tells other routers which software version began each stream, and asks for it.
+
+Load pattern: a release at thousands of streams a second. While a single version of a
+service serves, nobody is told anything. Once there are several, serving routers tell
+each other of the streams that they begin, within some milliseconds, and append them to
+a topic of the store a few times a second, for routers that start without knowing
+anything. Streams that were under way when the second version appeared are told as well.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import Protocol
+
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.ids import RequestId, ServiceName, SoftwareVersion
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.outcome.stream_origins import (
+    MEMORY_S,
+    BegunStream,
+    Origin,
+    StreamOrigins,
+)
+from chicorylead.outcome.take_up import (
+    GoOn,
+    ServingVersions,
+    Unprovable,
+    decide_take_up,
+)
+from chicorylead.traffic.model import RepeatPolicy
+from chicorylead.traffic.request import ForwardRequest
+from chicorylead.traffic.stream import StoreUnavailable
+from chicorylead.upstream.registry import Registry
+
+__all__ = ["BegunStreamLog", "StreamJournal"]
+
+OWN_SOURCE = "own"
+LOG_SOURCE = "log"
+TELL_DELAY_S = 0.01  # batches the streams that begin within some milliseconds
+CHECK_INTERVAL_S = 0.1  # a second version is noticed before it has begun many streams
+# Of one router: streams that a router began so shortly before its loss are not known.
+APPEND_INTERVAL_S = 0.3
+# Appends of the whole fleet: a quarter of what the store takes in a second.
+MAX_APPENDS_PER_S = 100.0
+READ_TIMEOUT_S = 0.5  # an answer of the store takes some milliseconds
+READ_RETRY_S = 0.3
+READ_INTERVAL_S = 0.1  # callers may ask for any number of streams that nobody knows
+MAX_QUEUED = 5_000  # streams that are not appended yet
+STREAMS_PER_RECORD = 500
+
+
+class BegunStreamLog(Protocol):
+    """A log of streams that all routers share."""
+
+    async def append(self, streams: Sequence[BegunStream]) -> None:
+        """Append streams."""
+
+    async def read(self) -> list[BegunStream]:
+        """Return the streams that were appended since the last call."""
+
+
+class StreamJournal:
+    """Knows at which software versions the streams of callers began.
+
+    Args:
+        origins: The streams that began lately.
+        registry: The upstreams that serve.
+        stream_log: The log of streams.
+        n_routers: Returns the number of routers that append to the log.
+        started_ms: Wall-clock time of the start of this router, milliseconds.
+
+    Attributes:
+        on_begun: Called with streams that peers have to know.
+    """
+
+    def __init__(
+        self,
+        origins: StreamOrigins,
+        registry: Registry,
+        stream_log: BegunStreamLog,
+        n_routers: Callable[[], int],
+        started_ms: int,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._origins = origins
+        self._registry = registry
+        self._stream_log = stream_log
+        self._n_routers = n_routers
+        self._started_ms = started_ms
+        self._log = log
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._clock = self._loop.time
+        self._started_at = self._clock()
+        self.on_begun: Callable[[Sequence[BegunStream]], None] = lambda _: None
+        # Streams that began here and are not complete, with the times of their begin.
+        self._open: dict[str, tuple[BegunStream, float]] = {}
+        self._told_at: dict[tuple[ServiceName, SoftwareVersion], float] = {}
+        self._mixed: set[ServiceName] = set()
+        self._to_tell: list[BegunStream] = []
+        self._to_append: list[BegunStream] = []
+        self._has_read_log = False
+        self._reading = asyncio.Lock()
+        self._read_began_at = float("-inf")
+        self._read_not_before = float("-inf")
+
+    # -- streams of this router
+
+    def begin(self, req: ForwardRequest, version: SoftwareVersion) -> None:
+        """Record that a stream begins, or goes on, before its event is forwarded."""
+        if req.operation.repeat is RepeatPolicy.ONCE:
+            return
+        stream = BegunStream(
+            _first_attempt(req), req.service, version, req.organisation
+        )
+        now = self._clock()
+        self._origins.record(stream, OWN_SOURCE)
+        self._open[stream.id] = (stream, now)
+        if req.service in self._mixed:
+            self._queue([stream])
+        elif self.serving(req.service).is_mixed:
+            self._queue_open(req.service)
+
+    def end(self, req: ForwardRequest) -> None:
+        """Record that a stream is complete, so that nobody takes it up."""
+        self._open.pop(_first_attempt(req), None)
+
+    def _queue_open(self, service: ServiceName) -> None:
+        """Queue the streams of a service that a second version serves now."""
+        self._mixed.add(service)
+        streams = [s for s, _ in self._open.values() if s.service == service]
+        self._log.info(
+            "versions_mixed",
+            service=service,
+            versions=",".join(sorted(self.serving(service).lately)),
+            n_open=len(streams),
+        )
+        self._queue(streams)
+
+    def _queue(self, streams: Sequence[BegunStream]) -> None:
+        if not self._to_tell and streams:
+            self._loop.call_later(TELL_DELAY_S, self._tell)
+        self._to_tell.extend(streams)
+        self._to_append.extend(streams)
+        n_excess = len(self._to_append) - MAX_QUEUED
+        if n_excess > 0:
+            self._metrics.count("stream_log.dropped", n_excess)
+            del self._to_append[:n_excess]
+
+    def _tell(self) -> None:
+        streams, self._to_tell = self._to_tell, []
+        self.on_begun(streams)
+
+    # -- streams of other routers
+
+    def learn(self, streams: Sequence[BegunStream], source: str) -> None:
+        """Learn of streams that other routers began."""
+        now = self._clock()
+        for stream in streams:
+            self._origins.record(stream, source)
+            key = ServiceName(stream.service), SoftwareVersion(stream.version)
+            self._told_at[key] = now
+
+    def serving(self, service: ServiceName) -> ServingVersions:
+        """Return what is known of the software versions of a service."""
+        now = self._clock()
+        since = now - MEMORY_S
+        lately = self._registry.versions_since(service, since)
+        lately |= {
+            version
+            for (name, version), told_at in self._told_at.items()
+            if name == service and told_at >= since
+        }
+        return ServingVersions(
+            lately, self._is_complete(service, now), self._has_read_log
+        )
+
+    def _is_complete(self, service: ServiceName, now: float) -> bool:
+        """Return whether this router knows all versions that have served lately.
+
+        One that has just started knows them if an upstream is older than any stream,
+        so that its version has served all the while, and the log tells of no other.
+        """
+        if now - self._started_at >= MEMORY_S:
+            return True
+        if not self._has_read_log:
+            return False
+        oldest_ms = self._registry.oldest_born_ms(service)
+        if oldest_ms is None:
+            return False
+        return self._started_ms - oldest_ms >= 1000 * MEMORY_S
+
+    # -- take-ups
+
+    async def pin(self, req: ForwardRequest) -> ForwardRequest:
+        """Return a request that goes on at the version that began its stream.
+
+        Raises:
+            Refusal: The version is not known.
+        """
+        if not req.takes_up:
+            return req
+        if self._find(req) is None and not self._is_sole(req.service):
+            await self._refresh()
+        services = {service for service, _ in req.operation.split}
+        decision = decide_take_up(
+            self._find(req), req.service, services, self.serving(req.service)
+        )
+        match decision:
+            case GoOn(service=service, version=version, source=source):
+                self._metrics.count("take_ups", outcome="goes_on", source=source)
+                self._log.info(
+                    "take_up",
+                    request=req.id,
+                    resumes=req.head.resumes,
+                    after_event=req.head.last_event_id,
+                    service=service,
+                    version=version,
+                    source=source,
+                )
+                return replace(req, service=service, version=version)
+            case Unprovable(detail=detail, retry_after_s=retry_after_s):
+                self._metrics.count("take_ups", outcome="unknown", source="none")
+                versions = ",".join(sorted(self.serving(req.service).lately))
+                self._log.warning(
+                    "take_up_unknown",
+                    request=req.id,
+                    resumes=req.head.resumes,
+                    after_event=req.head.last_event_id,
+                    service=req.service,
+                    versions=versions,
+                    up_s=self._clock() - self._started_at,
+                    has_read_log=self._has_read_log,
+                    detail=detail,
+                )
+                raise Refusal(ErrorKind.STREAM_UNKNOWN, detail, retry_after_s)
+
+    def _find(self, req: ForwardRequest) -> Origin | None:
+        return self._origins.find(req.head.resumes, req.organisation)
+
+    def _is_sole(self, service: ServiceName) -> bool:
+        serving = self.serving(service)
+        return len(serving.lately) == 1 and serving.is_complete
+
+    # -- log
+
+    async def run(self) -> None:
+        """Read the log, then append the streams that began here, until cancelled."""
+        while not await self._refresh():
+            await asyncio.sleep(READ_RETRY_S)
+        self._log.info("stream_log_read", n_streams=len(self._origins))
+        append_at = self._clock()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._check_versions()
+            if self._to_append and self._clock() >= append_at:
+                await self._append()
+                append_at = self._clock() + self._append_interval_s()
+
+    def _append_interval_s(self) -> float:
+        return max(APPEND_INTERVAL_S, self._n_routers() / MAX_APPENDS_PER_S)
+
+    def _check_versions(self) -> None:
+        """Notice a second version of a service, and the end of all others."""
+        now = self._clock()
+        self._open = {
+            attempt: (stream, begun_at)
+            for attempt, (stream, begun_at) in self._open.items()
+            if now - begun_at < MEMORY_S
+        }
+        self._told_at = {
+            key: at for key, at in self._told_at.items() if now - at < MEMORY_S
+        }
+        for service in {ServiceName(s.service) for s, _ in self._open.values()}:
+            is_mixed = self.serving(service).is_mixed
+            if is_mixed and service not in self._mixed:
+                self._queue_open(service)
+        for service in list(self._mixed):
+            if not self.serving(service).is_mixed:
+                self._mixed.discard(service)
+                self._log.info("versions_single", service=service)
+
+    async def _append(self) -> None:
+        streams = self._to_append[:STREAMS_PER_RECORD]
+        try:
+            await self._stream_log.append(streams)
+        except StoreUnavailable as exc:
+            self._metrics.count("stream_log.errors", call="append")
+            self._log.warning(
+                "stream_log_failed", n_streams=len(self._to_append), reason=exc
+            )
+            return
+        del self._to_append[: len(streams)]
+
+    async def _refresh(self) -> bool:
+        """Read the log up to its end; return whether it is known.
+
+        Take-ups that come together share a read, and do not wait for a store that has
+        just failed.
+        """
+        asked_at = self._clock()
+        async with self._reading:
+            now = self._clock()
+            if self._read_began_at >= asked_at or now < self._read_not_before:
+                return self._has_read_log
+            pause_s = self._read_began_at + READ_INTERVAL_S - now
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+            self._read_began_at = self._clock()
+            try:
+                async with asyncio.timeout(READ_TIMEOUT_S):
+                    streams = await self._stream_log.read()
+            except (StoreUnavailable, TimeoutError) as exc:
+                self._metrics.count("stream_log.errors", call="read")
+                self._log.warning("stream_log_unread", reason=repr(exc))
+                self._read_not_before = self._clock() + READ_RETRY_S
+                return self._has_read_log
+            self.learn(streams, LOG_SOURCE)
+            self._has_read_log = True
+            return True
+
+
+def _first_attempt(req: ForwardRequest) -> RequestId:
+    """Return the id by which callers take the stream of a request up."""
+    if req.takes_up and req.head.resumes is not None:
+        return req.head.resumes
+    return req.id
--- a/src/chicorylead/http_client.py
+++ b/src/chicorylead/http_client.py
@@ -38,7 +38,7 @@
 
 
 class HttpClient:
-    """Sends GET requests and keeps connections open between them."""
+    """Sends requests and keeps connections open between them."""
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[Connection]] = {}
@@ -60,14 +60,30 @@
     ) -> HttpResponse:
         """Return the response to a GET request.
 
+        Raises:
+            Failure: There is no complete response.
+        """
+        return await self.call("GET", address, path, query, timeout_s)
+
+    async def call(
+        self,
+        method: str,
+        address: tuple[str, int],
+        path: str,
+        query: Mapping[str, str],
+        timeout_s: float,
+        body: bytes = b"",
+    ) -> HttpResponse:
+        """Return the response to a request.
+
         A server may drop an idle connection as the request is sent on it; the request
-        is then sent once more on a new connection.
+        is then sent once more on a new connection, so that it may be executed twice.
 
         Raises:
             Failure: There is no complete response.
         """
         deadline = self._clock() + timeout_s
-        request = _encode(address, path, query)
+        request = _encode(method, address, path, query, body)
         conn = self._take_idle(address)
         if conn is not None:
             try:
@@ -120,10 +136,18 @@
         return HttpResponse(head.status, b"".join(parts), head.headers)
 
 
-def _encode(address: tuple[str, int], path: str, query: Mapping[str, str]) -> bytes:
+def _encode(
+    method: str,
+    address: tuple[str, int],
+    path: str,
+    query: Mapping[str, str],
+    body: bytes,
+) -> bytes:
     target = f"{path}?{urlencode(query)}" if query else path
     host, port = address
-    return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+    length = f"Content-Length: {len(body)}\r\n" if method != "GET" else ""
+    head = f"{method} {target} HTTP/1.1\r\nHost: {host}:{port}\r\n{length}\r\n"
+    return head.encode() + body
 
 
 def _decode_head(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
--- /dev/null
+++ b/src/chicorylead/outcome/take_up.py
@@ -0,0 +1,92 @@
+"""Decides where a stream that has broken off goes on.
+
+Load pattern: a release, during which upstreams of several software versions serve. What
+two versions write does not fit together, and upstreams do not check it. Callers take
+their streams up at any router, also just after all routers were restarted. A router
+knows where a stream began, or can prove that it does not matter, as only one version
+has served for as long as streams last; else it refuses at once.
+"""
+
+from collections.abc import Set
+from dataclasses import dataclass
+
+from chicorylead.ids import ServiceName, SoftwareVersion
+from chicorylead.outcome.stream_origins import Origin
+
+__all__ = ["GoOn", "ServingVersions", "Unprovable", "decide_take_up"]
+
+SOLE_SOURCE = "sole_version"
+# A router that has just started reads the log within some tens of milliseconds.
+NOT_READ_RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class ServingVersions:
+    """What a router knows of the software versions of a service.
+
+    Attributes:
+        lately: Versions that served within the time for which streams last.
+        is_complete: Whether no other version can have served within that time.
+        has_read_log: Whether the streams that the log holds are known.
+    """
+
+    lately: Set[SoftwareVersion]
+    is_complete: bool
+    has_read_log: bool
+
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether streams of several versions may be under way."""
+        return len(self.lately) > 1
+
+
+@dataclass(frozen=True, slots=True)
+class GoOn:
+    """Go on at the upstreams of one version.
+
+    Attributes:
+        source: How the version is known.
+    """
+
+    service: ServiceName
+    version: SoftwareVersion
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unprovable:
+    """Refuse, as the version is not known.
+
+    Attributes:
+        retry_after_s: Time after which it may be known, seconds; None for never.
+    """
+
+    detail: str
+    retry_after_s: float | None
+
+
+def decide_take_up(
+    origin: Origin | None,
+    service: ServiceName,
+    services: Set[ServiceName],
+    serving: ServingVersions,
+) -> GoOn | Unprovable:
+    """Return where a stream goes on.
+
+    Args:
+        origin: Where the stream began, if that is known.
+        service: The service for a new request.
+        services: The services that the operation may use.
+        serving: Software versions of the service for a new request.
+    """
+    if origin is not None:
+        began = ServiceName(origin.stream.service)
+        if began not in services:
+            return Unprovable(f"its service {began!r} is not used any more", None)
+        return GoOn(began, SoftwareVersion(origin.stream.version), origin.source)
+    if len(serving.lately) == 1 and serving.is_complete:
+        (version,) = serving.lately
+        return GoOn(service, version, SOLE_SOURCE)
+    if not serving.has_read_log:
+        return Unprovable("the log has not been read yet", NOT_READ_RETRY_S)
+    return Unprovable("nobody knows the version that began it", None)
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -9,6 +9,7 @@
 
 from chicorylead.outcome.poison_notice import PoisonNotice
 from chicorylead.outcome.prompt_report import CrashReport
+from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.traffic.stream import KnownRecords
 
 __all__ = [
@@ -20,6 +21,7 @@
     "RelayedDatagram",
     "SendReport",
     "StateDelta",
+    "StreamReports",
     "Suspicion",
     "UsageReport",
     "WorkReport",
@@ -100,6 +102,13 @@
     notices: list[NoticeReport]
 
 
+class StreamReports(Struct, frozen=True, array_like=True, tag="v"):
+    """Streams that one router began while several software versions serve."""
+
+    incarnation: int
+    streams: list[BegunStream]
+
+
 class StateDelta(Struct, frozen=True, array_like=True, tag="s"):
     """Changes of a router's work and usage.
 
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -25,6 +25,7 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.prompt_report import PromptReport
+from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
@@ -34,6 +35,7 @@
     RelayedDatagram,
     SendReport,
     StateDelta,
+    StreamReports,
     Suspicion,
     UsageReport,
     WorkReport,
@@ -62,6 +64,7 @@
 DELTA_DELAY_PER_PEER_S = 0.001  # batches the sends of a few milliseconds
 NOTICE_DELAY_S = 0.002  # batches the answers of upstreams that are limited together
 NOTICES_PER_DATAGRAM = 25  # below the size at which networks split datagrams
+STREAMS_PER_DATAGRAM = 25  # below the size at which networks split datagrams
 PROMPT_REPORT_DELAY_S = 0.002  # batches the requests that break in one crash
 # Of each prompt report: a router that misses it sends such prompts to engines until
 # the next beacon.
@@ -138,6 +141,9 @@
     def apply_notices(self, peer: str, reports: Sequence[NoticeReport]) -> None:
         """Apply what upstreams stated in answers to a live peer."""
 
+    def apply_streams(self, peer: str, streams: Sequence[BegunStream]) -> None:
+        """Learn of streams that a live peer began."""
+
     def is_serving(self, peer: Peer) -> bool:
         """Return whether callers are told to use a peer."""
 
@@ -213,6 +219,7 @@
             | PromptReport
             | RelayedDatagram
             | StateDelta
+            | StreamReports
             | Suspicion
         )
 
@@ -436,6 +443,13 @@
             repeated.n_left -= 1
         self._repeated_reports = [r for r in self._repeated_reports if r.n_left > 0]
 
+    def send_streams(self, streams: Sequence[BegunStream]) -> None:
+        """Tell the peers that serve callers of streams that began here."""
+        for first in range(0, len(streams), STREAMS_PER_DATAGRAM):
+            part = list(streams[first : first + STREAMS_PER_DATAGRAM])
+            message = StreamReports(self._incarnation, part)
+            self._broadcast(self._encoder.encode(message))
+
     def queue_notices(self) -> None:
         """Tell all live peers what upstreams stated, some milliseconds later."""
         if not self._has_notices:
@@ -548,6 +562,8 @@
                 self._handle_relayed(message, origin)
             case StateDelta():
                 self._handle_delta(message, origin)
+            case StreamReports():
+                self._handle_streams(message, origin)
             case Suspicion():
                 self._handle_suspicion(message, origin)
 
@@ -600,6 +616,13 @@
         if peer.presence.incarnation == reports.incarnation:
             self._router.apply_notices(peer.presence.id, reports.notices)
 
+    def _handle_streams(self, reports: StreamReports, sender: str) -> None:
+        peer = self._members.by_host(sender)
+        if peer is None or not peer.is_live:
+            return
+        if peer.presence.incarnation == reports.incarnation:
+            self._router.apply_streams(peer.presence.id, reports.streams)
+
     def _handle_suspicion(self, suspicion: Suspicion, sender: str) -> None:
         """Probe a router that a peer suspects to be lost."""
         teller = self._members.by_host(sender)
--- a/src/chicorylead/platform/store.py
+++ b/src/chicorylead/platform/store.py
@@ -8,6 +8,7 @@
 
 from chicorylead.http_client import HttpClient, HttpResponse
 from chicorylead.traffic.stream import (
+    PlainPage,
     StoreUnavailable,
     Stream,
     StreamPage,
@@ -43,8 +44,12 @@
     has_more: bool = False
 
 
+class _Trimmed(Struct, rename="camel", frozen=True):
+    first_offset: int | None = None
+
+
 class StoreClient:
-    """Reads streams from the store.
+    """Reads streams from the store, and appends to the project's own topics.
 
     Args:
         host: IP address of the store.
@@ -105,19 +110,52 @@
         response = await self._get("log-read", query, wait_s)
         return _decode_read(response.body, start, _era(response))
 
+    async def read_plain(self, topic: str, start: int) -> PlainPage:
+        """Return the records of a topic without keys from an offset, without waiting.
+
+        Raises:
+            StoreUnavailable: The store gave no usable response.
+            StreamTrimmed: Records from this offset are no longer retained.
+        """
+        query = {"topic": topic, "part": "0", "from": str(start), "waitMs": "0"}
+        response = await self._get("log-read", query, 0.0)
+        store_end, records = _split_records(response.body, start)
+        end = start + len(records)
+        return PlainPage(records, end, _era(response), has_more=end < store_end)
+
+    async def append(self, topic: str, records: bytes) -> None:
+        """Append records, each behind its length, to a topic without keys.
+
+        Raises:
+            StoreUnavailable: The store gave no usable response; it may have appended
+                the records.
+        """
+        query = {"topic": topic, "part": "0"}
+        await self._call("POST", "log-append", query, 0.0, records)
+
     async def _get(
         self, call: str, query: dict[str, str], wait_s: float
+    ) -> HttpResponse:
+        return await self._call("GET", call, query, wait_s)
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, str],
+        wait_s: float,
+        body: bytes = b"",
     ) -> HttpResponse:
         self.n_calls += 1
         timeout_s = wait_s + RESPONSE_MARGIN_S
         try:
-            response = await self._client.get(
-                self._address, f"/api/{call}", query, timeout_s
+            response = await self._client.call(
+                method, self._address, f"/api/{call}", query, timeout_s, body
             )
         except Failure as exc:
             raise StoreUnavailable(f"{call}: {exc}") from exc
         if response.status == _GONE:
-            raise StreamTrimmed(call, _era(response))
+            raise StreamTrimmed(call, _era(response), _first_offset(response.body))
         if response.status != 200:
             detail = f"{call}: status {response.status}"
             raise StoreUnavailable(detail, _era(response))
@@ -153,22 +191,41 @@
 
 def _decode_read(body: bytes, start: int, era: int) -> StreamPage:
     """Decode records; their offsets are consecutive, as the store omits none."""
+    store_end, parts = _split_records(body, start)
+    records = [_decode_keyed(data, start + n, era) for n, data in enumerate(parts)]
+    end = start + len(records)
+    return StreamPage(records, end, era, has_more=end < store_end)
+
+
+def _split_records(body: bytes, start: int) -> tuple[int, list[bytes]]:
+    """Return the end of the store's records, and those from an offset on.
+
+    Raises:
+        StoreUnavailable: The response is truncated.
+    """
     if len(body) < _OFFSETS.size:
         raise StoreUnavailable(f"log-read: response has only {len(body)} bytes")
-    records: list[StreamRecord] = []
     store_end, _ = _OFFSETS.unpack_from(body)
+    records: list[bytes] = []
     position = _OFFSETS.size
-    offset = start
     while position + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
         data = body[position : position + length]
         if len(data) < length:
+            offset = start + len(records)
             raise StoreUnavailable(f"log-read: record {offset} is truncated")
         position += length
-        records.append(_decode_keyed(data, offset, era))
-        offset += 1
-    return StreamPage(records, offset, era, has_more=offset < store_end)
+        records.append(data)
+    return store_end, records
+
+
+def _first_offset(body: bytes) -> int | None:
+    """Return the first retained offset that an answer tells, if it does."""
+    try:
+        return msgspec.json.decode(body, type=_Trimmed).first_offset
+    except msgspec.DecodeError:
+        return None
 
 
 def _decode_keyed(data: bytes, offset: int, era: int) -> StreamRecord:
--- a/src/chicorylead/traffic/stream.py
+++ b/src/chicorylead/traffic/stream.py
@@ -10,6 +10,7 @@
     "START",
     "KnownRecords",
     "PeerPage",
+    "PlainPage",
     "Position",
     "RecordStream",
     "StoreUnavailable",
@@ -128,6 +129,20 @@
     age_s: float = inf
 
 
+class PlainPage(Struct, frozen=True, array_like=True):
+    """Records without keys, and the offset at which the next read continues.
+
+    Attributes:
+        era: History that the offset belongs to.
+        has_more: Whether the store had further records when it answered.
+    """
+
+    records: list[bytes]
+    end: int
+    era: int
+    has_more: bool
+
+
 class StoreUnavailable(Exception):
     """The store gave no usable answer: none, an error status or malformed data.
 
@@ -145,11 +160,13 @@
 
     Attributes:
         era: History that the answer belongs to.
+        first: Offset of the first record that is retained, if the answer tells it.
     """
 
-    def __init__(self, detail: str, era: int = 0) -> None:
+    def __init__(self, detail: str, era: int = 0, first: int | None = None) -> None:
         super().__init__(detail)
         self.era = era
+        self.first = first
 
 
 class RecordStream(Protocol):
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -51,6 +51,8 @@
         self._lapsed: dict[UpstreamId, asyncio.TimerHandle] = {}
         self._memory_tokens: dict[ServiceName, float] = {}
         self._era = 0
+        # Event-loop time at which an upstream of a version was last removed, seconds.
+        self._version_left_at: dict[tuple[ServiceName, SoftwareVersion], float] = {}
 
     def get(self, upstream: UpstreamId) -> LiveUpstream | None:
         """Return a live upstream."""
@@ -78,6 +80,30 @@
             and not upstream.intake.is_leaving
         ]
 
+    def versions_since(
+        self, service: ServiceName, since: float
+    ) -> set[SoftwareVersion]:
+        """Return the software versions of a service that served after a time.
+
+        Args:
+            service: The service.
+            since: Event-loop time, seconds.
+        """
+        serving = {u.entry.version for u in self._of(service)}
+        return serving | {
+            version
+            for (name, version), left_at in self._version_left_at.items()
+            if name == service and left_at >= since
+        }
+
+    def oldest_born_ms(self, service: ServiceName) -> int | None:
+        """Return when the oldest upstream of a service started, if any tells it."""
+        born = (u.entry.born_ms for u in self._of(service) if u.entry.born_ms)
+        return min(born, default=None)
+
+    def _of(self, service: ServiceName) -> Iterable[LiveUpstream]:
+        return (u for u in self._live.values() if u.entry.service == service)
+
     def apply_configuration(self, cfg: Configuration) -> None:
         """Apply the engine settings of a new configuration."""
         self._memory_tokens = {
@@ -173,6 +199,7 @@
         incarnation = _incarnation(entry)
         if old is not None:
             old.close_idle()
+            self._record_left(old.entry)
             self._intakes.mark_unlisted(_incarnation(old.entry))
         if old is not None and not entry.born_ms and _is_restarted(entry, old.entry):
             intake = self._intakes.restart(incarnation)
@@ -211,10 +238,15 @@
         current = self._live.pop(upstream, None)
         if current is not None:
             current.close_idle()
+            self._record_left(current.entry)
             current.intake.removal = Removal(self._era, current.entry.sequence)
             self._intakes.mark_unlisted(_incarnation(current.entry))
             self._log.info("upstream_gone", upstream=upstream, reason=reason)
 
+    def _record_left(self, entry: RegisteredUpstream) -> None:
+        key = entry.service, entry.version
+        self._version_left_at[key] = self._loop.time()
+
 
 def _incarnation(entry: RegisteredUpstream) -> UpstreamIncarnation:
     return UpstreamIncarnation(entry.id, entry.born_ms)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -19,6 +19,7 @@
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RouterId, ZoneName
 from chicorylead.outcome.prompt_report import CrashReport, PromptReport
+from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.peer.datagram import (
     Beacon,
     Heartbeat,
@@ -419,6 +420,7 @@
         crashes: Crashes that this router knows of.
         prompt_reports: Ids of peers, with their prompt reports.
         notices: What upstreams stated in answers to this router.
+        streams: Ids of peers, with the streams that they began.
         notice_reports: Ids of peers, with what upstreams stated in answers to them.
         presence: Its presence, but for the sequence number and the peers.
     """
@@ -434,6 +436,7 @@
         self.crashes: list[CrashReport] = []
         self.prompt_reports: list[tuple[str, PromptReport]] = []
         self.notices: list[NoticeReport] = []
+        self.streams: list[tuple[str, list[BegunStream]]] = []
         self.notice_reports: list[tuple[str, list[NoticeReport]]] = []
 
     def make_presence(self, sequence: int, peers: list[str]) -> Presence:
@@ -472,6 +475,9 @@
     def apply_notices(self, peer: str, reports: list[NoticeReport]) -> None:
         self.notice_reports.append((peer, reports))
 
+    def apply_streams(self, peer: str, streams: list[BegunStream]) -> None:
+        self.streams.append((peer, streams))
+
     def is_serving(self, peer: Peer) -> bool:
         return self.serving is None or peer.presence.id in self.serving
 
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -120,7 +120,7 @@
     upstreams = [make_upstream(f"u{n}") for n in range(4)]
     for each in upstreams:
         each.prefixes = None
-    registry = SimpleNamespace(ready=lambda service: upstreams)
+    registry = SimpleNamespace(ready=lambda service, version: upstreams)
     log = EventLog()
     admission = AdmissionController(
         registry,
@@ -146,6 +146,7 @@
         PromptTrials(quarantine, log, metrics, Random(1)),
         crashes,
         NoticeRecorder(Intakes(loop.time), log, metrics),
+        SimpleNamespace(begin=lambda req, version: None, end=lambda req: None),
         Bounds(),
         lambda upstream, parts: None,
         lambda: 1,
