Soak: a store that never answers, two software versions, take-ups, kills of all routers

Upstreams of the soak have one of two software versions, whose streams differ; callers take streams that broke off up at any router, and a stream of two versions is a violation. Faults are added: a store that never answers the calls of some time, and a kill of all routers at once. Entries of upstreams tell when they were born by the wall clock, as on the platform.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -19,6 +19,8 @@
 EVENT_INTERVAL_S = 0.02
 MAX_WORK_S = 0.03
 DEADLINE_MS = 2500
+MAX_TAKE_UPS = 3
+MAX_TAKE_UP_PAUSE_S = 1.0  # some meet routers that have started meanwhile
 DEADLY_PART = "dead"
 DEADLY_RATIO = 0.1  # of the requests with a prompt
 PREFILL_S = 0.02
@@ -30,6 +32,7 @@
 
     Args:
         id: Its id in the registry.
+        version: Version of its software.
         ledger: Records the runs.
         fault_ratio: Fraction of the requests that it refuses or answers badly.
         on_crash: Called when a request crashes it.
@@ -44,12 +47,14 @@
     def __init__(
         self,
         id: str,
+        version: str,
         ledger: Ledger,
         rng: Random,
         fault_ratio: float,
         on_crash: Callable[[str], None],
     ) -> None:
         self.id = id
+        self.version = version
         self._on_crash = on_crash
         self.fault_ratio = fault_ratio
         self.limit_per_s: float | None = None
@@ -120,7 +125,9 @@
         head = STREAM_HEAD.format(id=request_id).encode()
         writer.write(self._with_notices(head))
         first = int(received.headers.get("last-event-id", "0")) + 1
-        for number, event in enumerate(expected_events(request_id, first)):
+        stream_id = received.headers.get("resumes", request_id)
+        events = expected_events(stream_id, first, self.version)
+        for number, event in enumerate(events):
             if is_cut and number == 3:
                 writer.write(b"%x\r\n" % len(event) + event[:5])
                 writer.transport.abort()
@@ -162,6 +169,16 @@
         self._ledger.record_sent(request_id, kind)
         body = b"" if PATHS[kind] == "GET" else request_id.encode()
         headers = self._prompt_headers() if kind == "revise" else {}
+        status, answer, whole = await self._attempt(kind, request_id, body, headers)
+        self._ledger.record_answer(request_id, status, answer, whole)
+        if status == 200 and whole:
+            self.last_success_at = asyncio.get_running_loop().time()
+        elif kind == "revise" and status == 200:
+            await self._take_up(request_id, body, headers, answer)
+
+    async def _attempt(
+        self, kind: str, request_id: str, body: bytes, headers: dict[str, str]
+    ) -> tuple[int, bytes, bool]:
         data = encode_request(
             f"/{kind}/a",
             PATHS[kind],
@@ -170,15 +187,38 @@
             chicorylead_deadline_ms=str(DEADLINE_MS),
             **headers,
         )
-        status, answer, whole = 0, b"", False
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000):
-                status, answer, whole = await self._exchange(data)
+                return await self._exchange(data)
         except (OSError, EOFError, TimeoutError):
             self._close()
-        self._ledger.record_answer(request_id, status, answer, whole)
-        if status == 200 and whole:
-            self.last_success_at = asyncio.get_running_loop().time()
+            return 0, b"", False
+
+    async def _take_up(
+        self, request_id: str, body: bytes, headers: dict[str, str], received: bytes
+    ) -> None:
+        """Go on with a stream that has broken off, at any router."""
+        for number in range(MAX_TAKE_UPS):
+            received, _, _ = received.rpartition(b"\n\n")
+            if not received:
+                return  # no event came, so that there is nothing to go on with
+            received += b"\n\n"
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_TAKE_UP_PAUSE_S))
+            attempt = f"{request_id}-again{number}"
+            self._ledger.record_sent(attempt, "revise")
+            again = {
+                **headers,
+                "resumes": request_id,
+                "last_event_id": str(received.count(b"\n\n")),
+            }
+            status, rest, whole = await self._attempt("revise", attempt, body, again)
+            if status != 200:
+                self._ledger.record_answer(attempt, status, rest, whole, request_id)
+                continue
+            received += rest
+            self._ledger.record_answer(attempt, status, received, whole, request_id)
+            if whole:
+                return
 
     def _prompt_headers(self) -> dict[str, str]:
         """Return the headers of a prompt, of which some hold the deadly part."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from random import Random
 
@@ -18,7 +19,7 @@
     registry_entry,
 )
 from tests.soak.endpoints import Caller, SoakUpstream
-from tests.soak.ledger import Ledger
+from tests.soak.ledger import VERSIONS, Ledger
 
 __all__ = ["SoakFleet"]
 
@@ -140,7 +141,7 @@
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
         self._restarts: set[asyncio.Task[None]] = set()
-        self._born = 1000
+        self._born = 0
         self._sequence = 0
         self._entries: dict[str, dict[str, object]] = {}
         self.injected: list[str] = []
@@ -199,7 +200,10 @@
         """Start an upstream and add it to the registry."""
         name = f"u{len(self._scripts)}"
         rng = Random(self._rng.random())
-        script = SoakUpstream(name, self.ledger, rng, 0.08, self._crash_upstream)
+        version = self._rng.choice(VERSIONS)
+        script = SoakUpstream(
+            name, version, self.ledger, rng, 0.08, self._crash_upstream
+        )
         self._scripts[name] = script
         await self._start_upstream(name, script)
 
@@ -208,8 +212,12 @@
         await upstream.start()
         address = await self._route(f"up-{name}", f"127.0.0.1:{upstream.port}")
         self._upstreams[name] = upstream
-        self._born += 1
-        self._entries[name] = {"address": address, "born": self._born}
+        self._born = max(self._born + 1, round(time.time() * 1000))
+        self._entries[name] = {
+            "address": address,
+            "born": self._born,
+            "version": script.version,
+        }
         self._register(name)
 
     def _register(self, name: str) -> None:
@@ -246,6 +254,7 @@
     def clear_faults(self) -> None:
         """Remove all faults and resume paused routers."""
         self.store.is_down = False
+        self.store.is_silent = False
         self.proxy.apply(LinkRule(group="*"))
         for script in self._scripts.values():
             script.fault_ratio = 0.0
@@ -266,9 +275,11 @@
         faults = {
             "kill": lambda: self._kill(router, for_s),
             "term": lambda: self._term(router),
+            "kill_all": lambda: self._kill_all(for_s),
             "pause": lambda: self._pause(router, for_s),
             "reload": lambda: self._signal(router, signal.SIGHUP),
             "store_down": lambda: self._store_down(for_s),
+            "store_silent": lambda: self._store_silent(for_s),
             "path": lambda: self._disturb_path(for_s),
             "upstreams": self._replace_upstream,
             "configuration": self._publish_configuration,
@@ -287,6 +298,9 @@
         await asyncio.sleep(for_s)
         await router.start()
 
+    async def _kill_all(self, for_s: float) -> None:
+        await asyncio.gather(*(self._kill(router, for_s) for router in self.routers))
+
     async def _term(self, router: _Router) -> None:
         router.signal(signal.SIGTERM)
         if not await router.wait(GRACE_S + 3.0):
@@ -307,6 +321,11 @@
         await asyncio.sleep(2 * for_s)
         self.store.is_down = False
 
+    async def _store_silent(self, for_s: float) -> None:
+        self.store.is_silent = True
+        await asyncio.sleep(2 * for_s)
+        self.store.is_silent = False
+
     async def _disturb_path(self, for_s: float) -> None:
         groups = [
             f"{end}-{r.number}" for end in ("store", "call") for r in self.routers
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,9 +4,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-__all__ = ["Kind", "Ledger", "MAX_RUNS", "expected_body", "expected_events"]
+__all__ = [
+    "MAX_RUNS",
+    "VERSIONS",
+    "Kind",
+    "Ledger",
+    "expected_body",
+    "expected_events",
+]
 
 N_EVENTS = 8
+VERSIONS = ("v1", "v2")  # of the upstreams' software
 # Of a part of prompts that crashes upstreams: crashes from which it must be known, and
 # the requests with it that may reach upstreams later.
 N_CRASHES_TO_KNOW = 5
@@ -28,10 +36,17 @@
     return f"answer to {request} ".encode() * 20
 
 
-def expected_events(request: str, first: int) -> list[bytes]:
-    """Return the events of the stream of a request from the event `first` on."""
+def expected_events(request: str, first: int, version: str) -> list[bytes]:
+    """Return the events of a stream from the event `first` on.
+
+    Args:
+        request: Id of the caller's attempt that brought the first event.
+        first: Number of the first event.
+        version: Software version of the upstream that writes them.
+    """
     return [
-        f"id: {n}\ndata: {request}/{n}\n\n".encode() for n in range(first, N_EVENTS + 1)
+        f"id: {n}\ndata: {version} {request}/{n}\n\n".encode()
+        for n in range(first, N_EVENTS + 1)
     ]
 
 
@@ -44,6 +59,7 @@
         runs: Number of runs that upstreams started, by request.
         statuses: Number of answers by status; status 0 means no answer.
         n_streams: Number of whole streams that callers received.
+        n_taken_up: Number of these that had broken off and were taken up.
         violations: Descriptions of violated guarantees.
         deadly_at: Times at which a request that crashes upstreams reached one.
         crashed_at: Times of these crashes.
@@ -55,6 +71,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
     n_streams: int = 0
+    n_taken_up: int = 0
     violations: list[str] = field(default_factory=list)
     deadly_at: list[float] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
@@ -89,15 +106,22 @@
             self.violations.append(f"{request}: {kind} ran {self.runs[request]} times")
 
     def record_answer(
-        self, request: str, status: int, body: bytes, whole: bool
+        self,
+        request: str,
+        status: int,
+        body: bytes,
+        whole: bool,
+        resumes: str | None = None,
     ) -> None:
         """Record and check what a caller received.
 
         Args:
             request: Id of the request.
             status: HTTP status; 0 for no answer.
-            body: What was received of the body.
+            body: What was received of the body, with what came before of a stream that
+                was taken up.
             whole: Whether the body is complete.
+            resumes: Id of the attempt whose stream was taken up, if any.
         """
         self.statuses[status] += 1
         if status in NOT_RUN_STATUSES:
@@ -105,12 +129,18 @@
         if status != 200:
             return
         if self._kinds[request] == "revise":
-            self._check_stream(request, body, whole)
+            self._check_stream(resumes or request, body, whole)
+            self.n_taken_up += whole and resumes is not None
         elif whole and body != expected_body(request):
             self.violations.append(f"{request}: unexpected body {body[:60]!r}")
 
     def _check_stream(self, request: str, body: bytes, whole: bool) -> None:
-        expected = b"".join(expected_events(request, 1))
+        versions = [v for v in VERSIONS if b"data: %s " % v.encode() in body]
+        if len(versions) > 1:
+            self.violations.append(f"{request}: stream of versions {versions}")
+            return
+        version = versions[0] if versions else VERSIONS[0]
+        expected = b"".join(expected_events(request, 1, version))
         self.n_streams += whole and body == expected
         if whole and body != expected:
             self.violations.append(
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -19,18 +19,20 @@
 
 @dataclass(frozen=True)
 class Result:
-    """Violations, injected faults, crashes and statuses of one seed."""
+    """Violations, injected faults, crashes, take-ups and statuses of one seed."""
 
     violations: tuple[str, ...]
     injected: tuple[str, ...]
     statuses: dict[int, int]
     n_crashes: int
+    n_taken_up: int
 
     def __str__(self) -> str:
         summary = "; ".join(self.violations[:5]) or "no violations"
         return (
             f"{summary}; {len(self.injected)} injected faults, {self.n_crashes} "
-            f"crashes by requests, statuses {self.statuses}"
+            f"crashes by requests, {self.n_taken_up} streams taken up, statuses "
+            f"{self.statuses}"
         )
 
 
@@ -90,6 +92,7 @@
         tuple(fleet.injected),
         dict(ledger.statuses),
         len(ledger.crashed_at),
+        ledger.n_taken_up,
     )
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -81,12 +81,22 @@
 )
 def test_the_ledger_detects_a_damaged_stream(numbers, whole, is_violation):
     ledger = _ledger("revise")
-    events = expected_events("r", 1)
+    events = expected_events("r", 1, "v1")
     body = b"".join(events[number - 1] for number in numbers)
     ledger.record_answer("r", 200, body, whole)
     assert bool(ledger.violations) is is_violation
 
 
+def test_the_ledger_detects_a_stream_of_two_versions():
+    ledger = _ledger("revise")
+    first, last = expected_events("r", 1, "v1"), expected_events("r", 1, "v2")
+    ledger.record_answer("r", 200, b"".join(first[:3]), False)
+    assert not ledger.violations
+    ledger._kinds["again"] = "revise"
+    ledger.record_answer("again", 200, b"".join(first[:3] + last[3:]), True, "r")
+    assert ledger.violations
+
+
 @pytest.mark.parametrize(("n_late", "is_violation"), [(0, False), (30, True)])
 def test_the_ledger_detects_requests_that_an_upstream_does_not_take(
     n_late, is_violation
