--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -169,7 +169,7 @@
         self._journal = StreamJournal(
             StreamOrigins(self._clock),
             self._registry,
-            StreamLog(self._store),
+            StreamLog(self._store, self.log),
             lambda: 1 + len(self._peers.state_peers()),
             incarnation // NS_PER_MS,
             self.log,
--- a/src/chicorylead/platform/stream_log.py
+++ b/src/chicorylead/platform/stream_log.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chicorylead.logs import EventLog
 from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.platform.store import StoreClient
 from chicorylead.traffic.stream import StoreUnavailable, StreamTrimmed
@@ -22,8 +23,9 @@
         store: Client of the store.
     """
 
-    def __init__(self, store: StoreClient) -> None:
+    def __init__(self, store: StoreClient, log: EventLog) -> None:
         self._store = store
+        self._log = log
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(list[BegunStream])
         self._era = 0
@@ -76,4 +78,5 @@
         try:
             return self._decoder.decode(data)
         except msgspec.DecodeError as exc:
-            raise StoreUnavailable(f"log-read: begun streams: {exc}") from exc
+            self._log.warning("stream_log_malformed", n_bytes=len(data), reason=exc)
+            return []
--- a/src/chicorylead/report/explanation.py
+++ b/src/chicorylead/report/explanation.py
@@ -57,9 +57,13 @@
 
 
 def explain_request(request: str, lines: Sequence[LogLine]) -> Explanation | None:
-    """Return the explanation of a request, or None if no line names it."""
+    """Return the explanation of a request, or None if no line names it.
+
+    The attempts of a stream that was taken up are explained together.
+    """
+    attempts = _attempts(request, lines)
     steps = sorted(
-        (line for line in lines if line.fields.get("request") == request),
+        (line for line in lines if line.fields.get("request") in attempts),
         key=lambda line: line.at,
     )
     if not steps:
@@ -70,12 +74,31 @@
         key=lambda line: line.at,
     )
     return Explanation(
-        steps=tuple(_format_line(line, start, _describe(line)) for line in steps),
+        steps=tuple(
+            _format_line(line, start, _describe_step(line, request)) for line in steps
+        ),
         context=tuple(_format_line(line, start, _summary(line)) for line in context),
         cause=_cause(steps, context),
     )
 
 
+def _attempts(request: str, lines: Sequence[LogLine]) -> set[str]:
+    """Return the attempts at the same stream: the first, and those that resume it."""
+    resumed = {
+        line.fields["request"]: line.fields["resumes"]
+        for line in lines
+        if line.fields.get("resumes", "None") != "None" and "request" in line.fields
+    }
+    first = resumed.get(request, request)
+    return {first, request, *(r for r, began in resumed.items() if began == first)}
+
+
+def _describe_step(line: LogLine, request: str) -> str:
+    attempt = line.fields["request"]
+    prefix = "" if attempt == request else f"attempt {attempt}: "
+    return prefix + _describe(line)
+
+
 def _format_line(line: LogLine, start: float, text: str) -> str:
     return f"{line.at - start:+9.3f} s  {line.router}: {text}"
 
@@ -112,7 +135,8 @@
             return _describe_limited(line)
         case "request_sent":
             return (
-                f"send {fields.get('send')} to {fields.get('upstream')}, expected "
+                f"send {fields.get('send')} to {fields.get('upstream')} "
+                f"(version {fields.get('version')}), expected "
                 f"the first event after {line.number('expected_s'):.3f} s, got it "
                 f"after {fields.get('first_event_s')} s, longest pause "
                 f"{line.number('longest_pause_s'):.3f} s, ended after "
@@ -121,6 +145,18 @@
             )
         case "request_ended":
             return f"ended with {fields.get('kind')}: {fields.get('detail')}"
+        case "take_up":
+            return (
+                f"goes on after event {fields.get('after_event')} of "
+                f"{fields.get('resumes')} at version {fields.get('version')}, as "
+                f"known from {fields.get('source')}"
+            )
+        case "take_up_unknown":
+            return (
+                f"cannot go on after event {fields.get('after_event')} of "
+                f"{fields.get('resumes')}: {fields.get('detail')}; versions that "
+                f"served lately: {fields.get('versions')}"
+            )
         case "answer_cut":
             return f"answer cut off before its end: {fields.get('reason')}"
         case "prompt_trial":
--- a/tests/gateway/test_story.py
+++ b/tests/gateway/test_story.py
@@ -161,3 +161,24 @@
     n_seconds, got
 ):
     assert share_report(read_lines(_overload_lines(n_seconds, got))) == []
+
+
+def test_the_attempts_of_a_stream_that_was_taken_up_are_explained_together():
+    begun = SENT.format("Broken", "broken").replace(
+        "upstream=u2", "upstream=u2 version=v1"
+    )
+    taken_up = (
+        "time=103.100 level=info event=take_up router=r3 request=cc resumes=bb "
+        "after_event=7 service=s version=v1 source=r2"
+    )
+    refused = (
+        "time=102.500 level=warning event=take_up_unknown router=r1 request=dd "
+        'resumes=bb after_event=7 versions=v1,v2 detail="nobody knows"'
+    )
+    for request in ("bb", "cc", "dd"):
+        story = _tell(request, taken_up, begun, refused, OTHER)
+        assert len(story.steps) == 3
+        assert "version v1" in story.steps[0]
+        assert "cannot go on after event 7 of bb: nobody knows" in story.steps[1]
+        assert "at version v1, as known from r2" in story.steps[2]
+    assert "attempt dd: " in _tell("bb", begun, refused).steps[1]
--- /dev/null
+++ b/tests/gateway/test_take_ups.py
@@ -0,0 +1,415 @@
+"""Where streams go on: what is remembered, what is proved, and what is asked."""
+
+import asyncio
+import math
+from collections.abc import Sequence
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicorylead.errors import ErrorKind, Refusal
+from chicorylead.gateway.stream_journal import (
+    APPEND_INTERVAL_S,
+    MAX_APPENDS_PER_S,
+    READ_INTERVAL_S,
+    StreamJournal,
+)
+from chicorylead.ids import OrganisationId, RequestId, ServiceName, SoftwareVersion
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
+from chicorylead.outcome import stream_origins
+from chicorylead.outcome.stream_origins import (
+    MEMORY_S,
+    BegunStream,
+    Origin,
+    StreamOrigins,
+)
+from chicorylead.outcome.take_up import (
+    GoOn,
+    ServingVersions,
+    Unprovable,
+    decide_take_up,
+)
+from chicorylead.platform.stream_log import StreamLog
+from chicorylead.traffic.model import Operation, RepeatPolicy
+from chicorylead.traffic.request import CallerHead, ForwardRequest
+from chicorylead.traffic.stream import PlainPage, StoreUnavailable, StreamTrimmed
+
+SERVICE = ServiceName("engines")
+NORTH = OrganisationId("north")
+
+
+def _stream(attempt: str, version: str = "v1", organisation: str = "north"):
+    return BegunStream(attempt, SERVICE, version, organisation)
+
+
+def _origin(version: str) -> Origin:
+    return Origin(_stream("a", version), "log", 0.0)
+
+
+def _serving(*lately: str, is_complete: bool = True, has_read_log: bool = True):
+    versions = frozenset(SoftwareVersion(version) for version in lately)
+    return ServingVersions(versions, is_complete, has_read_log)
+
+
+# -- the decision
+
+
+@given(
+    began=st.sampled_from([None, "v1", "v2"]),
+    lately=st.sets(st.sampled_from(["v1", "v2", "v3"])),
+    is_complete=st.booleans(),
+    has_read_log=st.booleans(),
+)
+def test_a_stream_never_goes_on_at_a_version_that_is_not_proved(
+    began, lately, is_complete, has_read_log
+):
+    origin = None if began is None else _origin(began)
+    serving = ServingVersions(frozenset(lately), is_complete, has_read_log)
+    match decide_take_up(origin, SERVICE, {SERVICE}, serving):
+        case GoOn(version=version):
+            assert version == began or (began is None and lately == {version})
+            assert began is not None or is_complete
+        case Unprovable(retry_after_s=retry_after_s):
+            assert began is None
+            assert not (len(lately) == 1 and is_complete)
+            # Only a router that may still learn of it tells the caller to return.
+            assert (retry_after_s is None) == has_read_log
+
+
+def test_a_stream_does_not_go_on_at_a_service_that_its_operation_no_longer_uses():
+    moved = decide_take_up(_origin("v1"), ServiceName("new"), {"new"}, _serving("v1"))
+    assert isinstance(moved, Unprovable)
+    split = {SERVICE, ServiceName("other")}
+    stays = decide_take_up(_origin("v1"), ServiceName("other"), split, _serving("v1"))
+    assert stays == GoOn(SERVICE, SoftwareVersion("v1"), "log")
+
+
+# -- what is remembered
+
+
+class _Clock:
+    now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_streams_are_found_by_their_organisation_only():
+    origins = StreamOrigins(_Clock())
+    origins.record(_stream("a"), "own")
+    assert origins.find(RequestId("a"), NORTH).stream.version == "v1"
+    for attempt, organisation in (("a", "south"), ("a", None), ("b", "north")):
+        assert origins.find(RequestId(attempt), organisation) is None
+    assert origins.find(None, NORTH) is None
+
+
+def test_an_attempt_id_that_began_streams_at_two_versions_names_none():
+    origins = StreamOrigins(_Clock())
+    for version in ("v1", "v2", "v1"):
+        origins.record(_stream("a", version), "r2")
+    assert origins.find(RequestId("a"), NORTH) is None
+
+
+def test_streams_are_forgotten_after_a_time_and_beyond_a_number(monkeypatch):
+    clock = _Clock()
+    origins = StreamOrigins(clock)
+    origins.record(_stream("old"), "own")
+    clock.now += MEMORY_S + 0.1
+    assert origins.find(RequestId("old"), NORTH) is None
+    monkeypatch.setattr(stream_origins, "MAX_STREAMS", 50)
+    for number in range(500):
+        origins.record(_stream(str(number)), "own")
+    assert len(origins) == 50
+    assert origins.find(RequestId("499"), NORTH) is not None
+    # One that goes on is kept longer than those that began after it.
+    origins.record(_stream("460"), "own")
+    for number in range(500, 545):
+        origins.record(_stream(str(number)), "own")
+    assert origins.find(RequestId("460"), NORTH) is not None
+    assert origins.find(RequestId("461"), NORTH) is None
+
+
+# -- the journal
+
+
+class _Log:
+    """A log of streams in memory, which may fail."""
+
+    def __init__(self) -> None:
+        self.records: list[list[BegunStream]] = []
+        self.unread: list[BegunStream] = []
+        self.is_down = False
+        self.n_reads = 0
+
+    async def append(self, streams: Sequence[BegunStream]) -> None:
+        if self.is_down:
+            raise StoreUnavailable("log-append: status 507")
+        self.records.append(list(streams))
+
+    async def read(self) -> list[BegunStream]:
+        self.n_reads += 1
+        await asyncio.sleep(0.005)
+        if self.is_down:
+            raise StoreUnavailable("log-read: status 503")
+        unread, self.unread = self.unread, []
+        return unread
+
+
+class _Registry:
+    """Upstreams of one service by their versions."""
+
+    def __init__(self, *versions: str, oldest_born_ms: int | None = 1) -> None:
+        self.versions = set(versions)
+        self._oldest_born_ms = oldest_born_ms
+
+    def versions_since(self, service: ServiceName, since: float) -> set[str]:
+        return set(self.versions)
+
+    def oldest_born_ms(self, service: ServiceName) -> int | None:
+        return self._oldest_born_ms
+
+
+STARTED_MS = 1_000_000
+
+
+def _journal(registry: _Registry, log: _Log, n_routers: int = 1) -> StreamJournal:
+    clock = asyncio.get_running_loop().time
+    return StreamJournal(
+        StreamOrigins(clock),
+        registry,
+        log,
+        lambda: n_routers,
+        STARTED_MS,
+        EventLog(),
+        Metrics(),
+    )
+
+
+def _request(attempt: str, resumes: str | None = None) -> ForwardRequest:
+    operation = Operation(
+        "revise", "h", "/", RepeatPolicy.RESUMABLE, True, 9.0, 0.4, 1, 2, False, True,
+        ((SERVICE, 1.0),),
+    )  # fmt: skip
+    last_event = None if resumes is None else "2"
+    head = CallerHead(
+        RequestId(attempt), "POST", b"/", "/", "h", None, 9.0, None, last_event,
+        None if resumes is None else RequestId(resumes), (),
+    )  # fmt: skip
+    return ForwardRequest(head, b"", operation, SERVICE, NORTH, 0.0, 9.0, 0.0)
+
+
+def test_streams_under_way_are_told_once_a_second_version_appears():
+    async def main() -> None:
+        registry, log, told = _Registry("v1"), _Log(), []
+        journal = _journal(registry, log)
+        journal.on_begun = told.extend
+        task = asyncio.create_task(journal.run())
+        for number in range(3):
+            journal.begin(_request(f"a{number}"), SoftwareVersion("v1"))
+        journal.end(_request("a0"))
+        await asyncio.sleep(APPEND_INTERVAL_S + 0.3)
+        assert told == [] and log.records == []
+        registry.versions.add("v2")
+        await asyncio.sleep(APPEND_INTERVAL_S + 0.3)
+        assert [stream.id for stream in told] == ["a1", "a2"]
+        journal.begin(_request("b"), SoftwareVersion("v2"))
+        await asyncio.sleep(APPEND_INTERVAL_S + 0.3)
+        task.cancel()
+        appended = [stream for record in log.records for stream in record]
+        assert [(s.id, s.version) for s in appended] == [
+            ("a1", "v1"),
+            ("a2", "v1"),
+            ("b", "v2"),
+        ]
+        assert told == appended
+
+    asyncio.run(main())
+
+
+def test_streams_that_could_not_be_appended_are_appended_later():
+    async def main() -> None:
+        log = _Log()
+        journal = _journal(_Registry("v1", "v2"), log)
+        task = asyncio.create_task(journal.run())
+        await asyncio.sleep(0.05)
+        log.is_down = True
+        journal.begin(_request("a"), SoftwareVersion("v1"))
+        await asyncio.sleep(APPEND_INTERVAL_S + 0.3)
+        log.is_down = False
+        await asyncio.sleep(APPEND_INTERVAL_S + 0.3)
+        task.cancel()
+        assert [[stream.id for stream in record] for record in log.records] == [["a"]]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("n_routers", [1, 5, 140, 520])
+def test_the_appends_of_a_fleet_stay_within_what_the_store_takes(n_routers):
+    async def main() -> float:
+        journal = _journal(_Registry("v1"), _Log(), n_routers)
+        return n_routers / journal._append_interval_s()
+
+    assert asyncio.run(main()) <= MAX_APPENDS_PER_S + 1e-6
+
+
+def test_a_stream_goes_on_after_several_take_ups_by_its_first_attempt():
+    async def main() -> None:
+        journal = _journal(_Registry("v1", "v2"), _Log())
+        journal.begin(_request("first"), SoftwareVersion("v2"))
+        for number in range(3):
+            again = await journal.pin(_request(f"again{number}", resumes="first"))
+            assert again.version == "v2"
+            journal.begin(again, again.version)
+
+    asyncio.run(main())
+
+
+def test_a_new_request_is_not_pinned_and_asks_nobody():
+    async def main() -> None:
+        log = _Log()
+        journal = _journal(_Registry("v1", "v2"), log)
+        request = _request("a")
+        assert await journal.pin(request) is request
+        assert log.n_reads == 0
+
+    asyncio.run(main())
+
+
+async def _refusal(journal: StreamJournal, attempt: str) -> Refusal:
+    with pytest.raises(Refusal) as caught:
+        await journal.pin(_request(f"{attempt}-again", resumes=attempt))
+    assert caught.value.kind is ErrorKind.STREAM_UNKNOWN
+    return caught.value
+
+
+def test_take_ups_of_unknown_streams_share_few_reads_of_the_log():
+    """Thousands of made-up ids: the users bill each call, and limit them."""
+
+    async def main() -> tuple[int, float]:
+        log = _Log()
+        journal = _journal(_Registry("v1", "v2"), log)
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        for batch in range(5):
+            await asyncio.gather(
+                *(_refusal(journal, f"made-up-{batch}-{n}") for n in range(400))
+            )
+        return log.n_reads, clock() - started
+
+    n_reads, took_s = asyncio.run(main())
+    assert n_reads <= 2 + took_s / READ_INTERVAL_S
+
+
+def test_a_stream_that_another_router_appended_is_found_in_the_log():
+    async def main() -> None:
+        log = _Log()
+        journal = _journal(_Registry("v1", "v2"), log)
+        await _refusal(journal, "first")
+        log.unread = [_stream("first", "v2")]
+        request = await journal.pin(_request("again", resumes="first"))
+        assert (request.version, request.service) == ("v2", SERVICE)
+
+    asyncio.run(main())
+
+
+def test_a_router_that_has_just_started_goes_on_only_if_one_version_is_proved():
+    old_ms = STARTED_MS - 1000 * MEMORY_S - 1
+    new_ms = STARTED_MS - 1
+
+    async def pin(born_ms: float, streams: list[BegunStream], is_down: bool) -> object:
+        log = _Log()
+        log.unread, log.is_down = streams, is_down
+        journal = _journal(_Registry("v1", oldest_born_ms=round(born_ms)), log)
+        try:
+            return (await journal.pin(_request("again", resumes="first"))).version
+        except Refusal as exc:
+            return exc.retry_after_s
+
+    async def main() -> None:
+        assert await pin(old_ms, [], is_down=False) == "v1"
+        # The old version may have left while no router was up.
+        assert await pin(new_ms, [], is_down=False) is None
+        # Two versions served lately.
+        assert await pin(old_ms, [_stream("x", "v2")], is_down=False) is None
+        # The log may still tell: the caller may come back.
+        assert 0 < await pin(old_ms, [], is_down=True) < math.inf
+
+    asyncio.run(main())
+
+
+def test_a_silent_log_does_not_hold_take_ups():
+    async def main() -> float:
+        log = _Log()
+        journal = _journal(_Registry("v1", "v2"), log)
+        log.read = lambda: asyncio.sleep(60)
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        await asyncio.gather(*(_refusal(journal, f"a{n}") for n in range(50)))
+        return clock() - started
+
+    assert asyncio.run(main()) < 1.0
+
+
+# -- the log in the store
+
+
+class _PlainStore:
+    """Answers reads with scripted pages and errors."""
+
+    def __init__(self, *answers: object) -> None:
+        self._answers = list(answers)
+        self.starts: list[int] = []
+
+    async def read_plain(self, topic: str, start: int) -> PlainPage:
+        self.starts.append(start)
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def _record(*attempts: str) -> bytes:
+    encoder = StreamLog(SimpleNamespace(), EventLog())._encoder
+    return encoder.encode([_stream(attempt) for attempt in attempts])
+
+
+def _read(*answers: object) -> tuple[list[str], list[int]]:
+    store = _PlainStore(*answers)
+
+    async def main() -> list[str]:
+        return [stream.id for stream in await StreamLog(store, EventLog()).read()]
+
+    return asyncio.run(main()), store.starts
+
+
+def test_the_log_is_read_page_by_page_from_its_first_retained_record():
+    ids, starts = _read(
+        StreamTrimmed("log-read", era=1, first=7),
+        PlainPage([_record("a", "b")], 8, 1, has_more=True),
+        PlainPage([_record("c")], 9, 1, has_more=False),
+    )
+    assert (ids, starts) == (["a", "b", "c"], [0, 7, 8])
+
+
+def test_a_log_that_came_back_from_a_copy_is_read_anew():
+    ids, starts = _read(
+        PlainPage([_record("a")], 1, 1, has_more=True),
+        PlainPage([_record("lost")], 2, 2, has_more=False),
+        PlainPage([_record("a"), _record("b")], 2, 2, has_more=False),
+    )
+    assert (ids, starts) == (["a", "a", "b"], [0, 1, 0])
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x93\x01\x02\x03", b"\x91\x90"])
+def test_a_malformed_record_of_the_log_is_skipped(data):
+    ids, _ = _read(PlainPage([data, _record("a")], 2, 1, has_more=False))
+    assert ids == ["a"]
+
+
+def test_a_log_without_an_end_of_trimmed_offsets_is_an_error():
+    trimmed = StreamTrimmed("log-read", era=1, first=None)
+    with pytest.raises(StoreUnavailable):
+        _read(trimmed, trimmed, trimmed)
