Watch software versions in a task of its own, beside the calls of the stream log

A silent store held the check for a second version for up to the time-out of an append, and each stream that began asked the registry for its versions. The versions are checked ten times a second, whatever the log does; streams that began meanwhile are told with the others. The follower awaits what it has cancelled, so that no exception goes unseen.

--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -233,6 +233,7 @@
         finally:
             for task in tasks:
                 task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _check_until_news(self, start: Position) -> StreamPage | None:
         """Read without waiting whenever the records have to be checked.
--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -30,7 +30,7 @@
 )
 from chicorylead.traffic.model import RepeatPolicy
 from chicorylead.traffic.request import ForwardRequest
-from chicorylead.traffic.stream import StoreUnavailable
+from chicorylead.traffic.stream import StoreUnavailable, StreamTrimmed
 from chicorylead.upstream.registry import Registry
 
 __all__ = ["BegunStreamLog", "StreamJournal"]
@@ -120,8 +120,6 @@
         self._open[stream.id] = (stream, now)
         if req.service in self._mixed:
             self._queue([stream])
-        elif self.serving(req.service).is_mixed:
-            self._queue_open(req.service)
 
     def end(self, req: ForwardRequest) -> None:
         """Record that a stream is complete, so that nobody takes it up."""
@@ -247,17 +245,24 @@
     # -- log
 
     async def run(self) -> None:
-        """Read the log, then append the streams that began here, until cancelled."""
+        """Watch the versions, and read and append to the log, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._watch_versions())
+            tasks.create_task(self._use_log())
+
+    async def _watch_versions(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._check_versions()
+
+    async def _use_log(self) -> None:
         while not await self._refresh():
             await asyncio.sleep(READ_RETRY_S)
         self._log.info("stream_log_read", n_streams=len(self._origins))
-        append_at = self._clock()
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            self._check_versions()
-            if self._to_append and self._clock() >= append_at:
+            await asyncio.sleep(self._append_interval_s())
+            if self._to_append:
                 await self._append()
-                append_at = self._clock() + self._append_interval_s()
 
     def _append_interval_s(self) -> float:
         return max(APPEND_INTERVAL_S, self._n_routers() / MAX_APPENDS_PER_S)
@@ -286,7 +291,7 @@
         streams = self._to_append[:STREAMS_PER_RECORD]
         try:
             await self._stream_log.append(streams)
-        except StoreUnavailable as exc:
+        except (StoreUnavailable, StreamTrimmed) as exc:
             self._metrics.count("stream_log.errors", call="append")
             self._log.warning(
                 "stream_log_failed", n_streams=len(self._to_append), reason=exc
