Keep streams of organisations apart, as their callers choose the ids

From reading the diff: a caller that named an attempt of another organisation made its stream ambiguous, so that the owner could no longer take it up. Streams are kept by organisation and id. The new test failed before.

--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -13,7 +13,12 @@
 from typing import Protocol
 
 from chicorylead.errors import ErrorKind, Refusal
-from chicorylead.ids import RequestId, ServiceName, SoftwareVersion
+from chicorylead.ids import (
+    OrganisationId,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+)
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.stream_origins import (
@@ -96,7 +101,9 @@
         self._started_at = self._clock()
         self.on_begun: Callable[[Sequence[BegunStream]], None] = lambda _: None
         # Streams that began here and are not complete, with the times of their begin.
-        self._open: dict[str, tuple[BegunStream, float]] = {}
+        self._open: dict[
+            tuple[OrganisationId | None, RequestId], tuple[BegunStream, float]
+        ] = {}
         self._told_at: dict[tuple[ServiceName, SoftwareVersion], float] = {}
         self._mixed: set[ServiceName] = set()
         self._to_tell: list[BegunStream] = []
@@ -112,18 +119,17 @@
         """Record that a stream begins, or goes on, before its event is forwarded."""
         if req.operation.repeat is RepeatPolicy.ONCE:
             return
-        stream = BegunStream(
-            _first_attempt(req), req.service, version, req.organisation
-        )
+        attempt = _first_attempt(req)
+        stream = BegunStream(attempt, req.service, version, req.organisation)
         now = self._clock()
         self._origins.record(stream, OWN_SOURCE)
-        self._open[stream.id] = (stream, now)
+        self._open[req.organisation, attempt] = (stream, now)
         if req.service in self._mixed:
             self._queue([stream])
 
     def end(self, req: ForwardRequest) -> None:
         """Record that a stream is complete, so that nobody takes it up."""
-        self._open.pop(_first_attempt(req), None)
+        self._open.pop((req.organisation, _first_attempt(req)), None)
 
     def _queue_open(self, service: ServiceName) -> None:
         """Queue the streams of a service that a second version serves now."""
@@ -271,8 +277,8 @@
         """Notice a second version of a service, and the end of all others."""
         now = self._clock()
         self._open = {
-            attempt: (stream, begun_at)
-            for attempt, (stream, begun_at) in self._open.items()
+            key: (stream, begun_at)
+            for key, (stream, begun_at) in self._open.items()
             if now - begun_at < MEMORY_S
         }
         self._told_at = {
--- a/src/chicorylead/outcome/stream_origins.py
+++ b/src/chicorylead/outcome/stream_origins.py
@@ -52,7 +52,9 @@
 
 
 class StreamOrigins:
-    """The streams that began lately, by the id of their first attempt.
+    """The streams that began lately, by organisation and id of the first attempt.
+
+    Callers choose the ids, so that those of one organisation say nothing of another's.
 
     Args:
         clock: Returns the time of the event loop, seconds.
@@ -61,17 +63,18 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         # In the order of their times.
-        self._origins: dict[str, Origin] = {}
+        self._origins: dict[tuple[str | None, str], Origin] = {}
 
     def record(self, stream: BegunStream, source: str) -> None:
         """Record a stream that began, or goes on."""
         now = self._clock()
         self._evict(now)
-        known = self._origins.pop(stream.id, None)
+        key = stream.organisation, stream.id
+        known = self._origins.pop(key, None)
         is_ambiguous = known is not None and (
             known.is_ambiguous or known.stream != stream
         )
-        self._origins[stream.id] = Origin(stream, source, now, is_ambiguous)
+        self._origins[key] = Origin(stream, source, now, is_ambiguous)
 
     def find(
         self, attempt: RequestId | None, organisation: OrganisationId | None
@@ -79,12 +82,10 @@
         """Return where a stream of an organisation began, if that is known for sure."""
         if attempt is None:
             return None
-        origin = self._origins.get(attempt)
+        origin = self._origins.get((organisation, attempt))
         if origin is None or origin.is_ambiguous:
             return None
-        if origin.at < self._clock() - MEMORY_S:
-            return None
-        return origin if origin.stream.organisation == organisation else None
+        return origin if origin.at >= self._clock() - MEMORY_S else None
 
     def __len__(self) -> int:
         return len(self._origins)
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -106,6 +106,15 @@
     assert origins.find(None, NORTH) is None
 
 
+def test_an_id_that_another_organisation_names_does_not_disturb_a_stream():
+    origins = StreamOrigins(_Clock())
+    origins.record(_stream("a", "v1"), "own")
+    origins.record(_stream("a", "v2", organisation="south"), "own")
+    assert origins.find(RequestId("a"), NORTH).stream.version == "v1"
+    south = OrganisationId("south")
+    assert origins.find(RequestId("a"), south).stream.version == "v2"
+
+
 def test_an_attempt_id_that_began_streams_at_two_versions_names_none():
     origins = StreamOrigins(_Clock())
     for version in ("v1", "v2", "v1"):
