Lose no begun streams when a page of the log fails, or more are queued meanwhile

From reading the diff: pages that were read before one that failed were skipped by the next read, and streams that were queued beyond the limit during an append could be removed in place of those that were appended. The new test of the first one failed before.

--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -295,15 +295,15 @@
 
     async def _append(self) -> None:
         streams = self._to_append[:STREAMS_PER_RECORD]
+        del self._to_append[: len(streams)]
         try:
             await self._stream_log.append(streams)
         except (StoreUnavailable, StreamTrimmed) as exc:
             self._metrics.count("stream_log.errors", call="append")
+            self._to_append[:0] = streams
             self._log.warning(
                 "stream_log_failed", n_streams=len(self._to_append), reason=exc
             )
-            return
-        del self._to_append[: len(streams)]
 
     async def _refresh(self) -> bool:
         """Read the log up to its end; return whether it is known.
--- a/src/chicorylead/platform/stream_log.py
+++ b/src/chicorylead/platform/stream_log.py
@@ -30,6 +30,8 @@
         self._decoder = msgspec.msgpack.Decoder(list[BegunStream])
         self._era = 0
         self._offset = 0
+        # Read before a page that failed, and not returned yet.
+        self._streams: list[BegunStream] = []
 
     async def append(self, streams: Sequence[BegunStream]) -> None:
         """Append streams as one record.
@@ -46,7 +48,6 @@
         Raises:
             StoreUnavailable: The store gave no usable response.
         """
-        streams: list[BegunStream] = []
         while True:
             try:
                 page = await self._store.read_plain(_TOPIC, self._offset)
@@ -60,8 +61,9 @@
             self._era = page.era
             self._offset = page.end
             for data in page.records:
-                streams.extend(self._decode(data))
+                self._streams.extend(self._decode(data))
             if not page.has_more:
+                streams, self._streams = self._streams, []
                 return streams
 
     def _restart(self, era: int, offset: int) -> None:
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -418,6 +418,22 @@
     assert ids == ["a"]
 
 
+def test_pages_before_one_that_failed_are_not_lost():
+    store = _PlainStore(
+        PlainPage([_record("a")], 1, 1, has_more=True),
+        StoreUnavailable("log-read: silent"),
+        PlainPage([_record("b")], 2, 1, has_more=False),
+    )
+
+    async def main() -> list[str]:
+        stream_log = StreamLog(store, EventLog())
+        with pytest.raises(StoreUnavailable):
+            await stream_log.read()
+        return [stream.id for stream in await stream_log.read()]
+
+    assert asyncio.run(main()) == ["a", "b"]
+
+
 def test_a_log_without_an_end_of_trimmed_offsets_is_an_error():
     trimmed = StreamTrimmed("log-read", era=1, first=None)
     with pytest.raises(StoreUnavailable):
