--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -218,18 +218,19 @@
         """
         self._era_changed.clear()
         read = asyncio.ensure_future(self._ask(start.offset, wait_s))
-        tasks = [read, asyncio.ensure_future(self._era_changed.wait())]
+        changed = asyncio.ensure_future(self._era_changed.wait())
+        check: asyncio.Task[StreamPage | None] | None = None
+        tasks = [read, changed]
         if wait_s:
-            tasks.append(asyncio.ensure_future(self._check_until_news(start)))
+            check = asyncio.ensure_future(self._check_until_news(start))
+            tasks.append(check)
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if read.done():
                 # One that waited tells how things are when it is answered.
                 self._stated_at = self._clock() if wait_s else self._asked_at
                 return read.result()
-            if wait_s and tasks[-1].done():
-                return tasks[-1].result()
-            return None
+            return check.result() if check is not None and check.done() else None
         finally:
             for task in tasks:
                 task.cancel()
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -47,7 +47,7 @@
         clock: Returns the time of the event loop, seconds.
 
     Attributes:
-        on_streams: Called with streams that a peer, of the id, began.
+        on_streams: Called with streams and the id of the peer that began them.
     """
 
     def __init__(
--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -100,7 +100,8 @@
         self._clock = self._loop.time
         self._started_at = self._clock()
         self.on_begun: Callable[[Sequence[BegunStream]], None] = lambda _: None
-        # Streams that began here and are not complete, with the times of their begin.
+        # Streams that began here and are not complete, with the times of their first
+        # events, by organisation and first attempt.
         self._open: dict[
             tuple[OrganisationId | None, RequestId], tuple[BegunStream, float]
         ] = {}
