Build followers of streams in tests in one place

Cause: four test files repeated the twelve arguments of StreamFollower, and each new argument changed all of them. Change: make_follower in the fakes; tests give what differs. No check changes. Conclusion: the copies are gone.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import base64
+import math
 import os
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
-from random import SystemRandom
+from random import Random, SystemRandom
 
 import msgspec
 from starlette.requests import Request
@@ -15,9 +16,12 @@
 from starlette.routing import Route, Router
 
 from chicorylead.gateway.app import Gateway
+from chicorylead.gateway.follower import StreamFollower
 from chicorylead.gateway.settings import Bounds, GatewaySettings
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RouterId, ZoneName
+from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
 from chicorylead.outcome.prompt_report import CrashReport, PromptReport
 from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.peer.datagram import (
@@ -29,7 +33,8 @@
     UsageReport,
 )
 from chicorylead.peer.membership import Peer
-from chicorylead.traffic.stream import KnownRecords
+from chicorylead.platform.configuration import revision_of_configuration
+from chicorylead.traffic.stream import KnownRecords, RecordStream, Stream
 
 __all__ = [
     "INCARNATION",
@@ -41,6 +46,7 @@
     "configuration",
     "registry_entry",
     "free_ports",
+    "make_follower",
     "make_gateway",
     "presence_of",
     "encode_request",
@@ -353,6 +359,31 @@
     return Gateway(cfg, incarnation=INCARNATION, read_settings=lambda: cfg)
 
 
+def make_follower(
+    store: RecordStream | None, stream: Stream, **changes: object
+) -> StreamFollower:
+    """Return a follower that reads the store itself and checks nothing.
+
+    Args:
+        store: The store, or None if nothing is read.
+        stream: The stream.
+        changes: Arguments of `StreamFollower` that differ.
+    """
+    arguments = {
+        "on_record": lambda record: None,
+        "on_snapshot": lambda records: None,
+        "must_read": lambda: True,
+        "on_news": lambda: None,
+        "revision": revision_of_configuration,
+        "on_era": lambda era: None,
+        "check_due_s": lambda: math.inf,
+        "log": EventLog(),
+        "metrics": Metrics(),
+        "rng": Random(1),
+    }
+    return StreamFollower(store, stream, **{**arguments, **changes})
+
+
 async def call(
     port: int,
     path: str,
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -1,16 +1,12 @@
 """Upstreams that may get work while the registry and the store change."""
 
 import asyncio
-import math
-from random import Random
 
 import msgspec
 import pytest
 
-from chicorylead.gateway.follower import StreamFollower
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
-from chicorylead.metrics import Metrics
 from chicorylead.platform.registry import decode_upstream
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.stream import (
@@ -22,6 +18,7 @@
 )
 from chicorylead.upstream.intakes import Intakes
 from chicorylead.upstream.registry import LAPSE_GRACE_S, Registry
+from tests.gateway.fakes import make_follower
 
 SERVICE = ServiceName("app")
 
@@ -151,19 +148,11 @@
 
     store = _ScriptedStore(answers)
     seen: list[StreamRecord] = []
-    follower = StreamFollower(
+    follower = make_follower(
         store,
         Stream.UPSTREAMS,
-        seen.append,
-        lambda records: None,
-        lambda: True,
-        lambda: None,
-        lambda record: None,
-        lambda era: None,
-        lambda: math.inf,
-        EventLog(),
-        Metrics(),
-        Random(1),
+        on_record=seen.append,
+        revision=lambda record: None,
     )
     task = asyncio.ensure_future(follower.run())
     await asyncio.sleep(0.6)
--- a/tests/gateway/test_serving_routers.py
+++ b/tests/gateway/test_serving_routers.py
@@ -1,7 +1,6 @@
 """Which routers read the store, and what the others take from their peers."""
 
 import asyncio
-import math
 from collections.abc import Callable
 from random import Random
 from types import SimpleNamespace
@@ -10,9 +9,8 @@
 from chicorylead.gateway.records_age import MAX_AGE_S, RecordsAge
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.logs import EventLog
-from chicorylead.metrics import Metrics
 from chicorylead.traffic.stream import START, Position, Stream, StreamPage, StreamRecord
-from tests.gateway.fakes import presence_of
+from tests.gateway.fakes import make_follower, presence_of
 from tests.gateway.test_peers import _settings
 
 
@@ -38,19 +36,8 @@
 
 
 def _follower(store: _Store | None, must_read=lambda: True) -> StreamFollower:
-    return StreamFollower(
-        store,
-        Stream.UPSTREAMS,
-        lambda record: None,
-        lambda records: None,
-        must_read,
-        lambda: None,
-        lambda record: None,
-        lambda era: None,
-        lambda: math.inf,
-        EventLog(),
-        Metrics(),
-        Random(1),
+    return make_follower(
+        store, Stream.UPSTREAMS, must_read=must_read, revision=lambda record: None
     )
 
 
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -1,16 +1,12 @@
 """A store that comes back from a copy, so that offsets are given out again."""
 
 import asyncio
-import math
-from random import Random
 
 import msgspec
 import pytest
 
 from chicorylead.gateway.follower import StreamFollower
 from chicorylead.http_client import HttpResponse
-from chicorylead.logs import EventLog
-from chicorylead.metrics import Metrics
 from chicorylead.platform.configuration import revision_of_configuration
 from chicorylead.platform.registry import revision_of_upstream
 from chicorylead.platform.store import _era
@@ -23,7 +19,7 @@
     StreamRecord,
     StreamTrimmed,
 )
-from tests.gateway.fakes import call, configuration, registry_entry
+from tests.gateway.fakes import call, configuration, make_follower, registry_entry
 from tests.gateway.test_gateway import GatewayHarness, _run_check, _serve
 from tests.gateway.test_peers import GatewayPair, _wait_until
 
@@ -220,20 +216,7 @@
 
 
 def _follower(store: _Store | None, seen: list[StreamRecord]) -> StreamFollower:
-    return StreamFollower(
-        store,
-        Stream.CONFIGURATION,
-        seen.append,
-        lambda records: None,
-        lambda: True,
-        lambda: None,
-        revision_of_configuration,
-        lambda era: None,
-        lambda: math.inf,
-        EventLog(),
-        Metrics(),
-        Random(1),
-    )
+    return make_follower(store, Stream.CONFIGURATION, on_record=seen.append)
 
 
 def _record(version: int, offset: int, era: int) -> StreamRecord:
--- a/tests/gateway/test_store_silence.py
+++ b/tests/gateway/test_store_silence.py
@@ -1,23 +1,18 @@
 """A store that falls silent for a while and never answers the calls of that time."""
 
 import asyncio
-import math
-from random import Random
 
 import pytest
 
 from chicorylead.gateway.follower import HOP_S, READ_PAUSE_S, StreamFollower
 from chicorylead.gateway.records_age import CHECK_AGE_S, CHECK_JITTER, MAX_AGE_S
-from chicorylead.logs import EventLog
-from chicorylead.metrics import Metrics
-from chicorylead.platform.configuration import revision_of_configuration
 from chicorylead.traffic.stream import (
     StoreUnavailable,
     Stream,
     StreamPage,
     StreamRecord,
 )
-from tests.gateway.fakes import configuration, registry_entry
+from tests.gateway.fakes import configuration, make_follower, registry_entry
 from tests.gateway.test_gateway import GatewayHarness, _run_check, _serve
 from tests.gateway.test_peers import GatewayPair, _wait_until
 
@@ -172,20 +167,7 @@
 
 
 def _follower(store: _Store | _PagedStore) -> StreamFollower:
-    return StreamFollower(
-        store,
-        Stream.CONFIGURATION,
-        lambda record: None,
-        lambda records: None,
-        lambda: True,
-        lambda: None,
-        revision_of_configuration,
-        lambda era: None,
-        lambda: math.inf,
-        EventLog(),
-        Metrics(),
-        Random(1),
-    )
+    return make_follower(store, Stream.CONFIGURATION)
 
 
 def test_the_line_of_a_lost_store_tells_when_it_was_asked_and_answered(log_capture):
