--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -30,7 +30,8 @@
 
 __all__ = ["HOP_S", "OnRecord", "OnSnapshot", "Revision", "StreamFollower"]
 
-# Calls are billed, so polls are long, and checked by reads that routers take in turn.
+# Calls are billed, so polls are long. Checks, the offsets that peers report and the
+# keep-alive probes of a silent connection show a router earlier that it lacks records.
 LONG_POLL_S = 12.0
 READ_PAUSE_S = 0.25  # batches records; 1/8 of the time in which a change must apply
 RETRY_MIN_S = 0.1  # several retries within the time in which a change must apply
--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -44,7 +44,7 @@
 LOG_SOURCE = "log"
 TELL_DELAY_S = 0.01  # batches the streams that begin within some milliseconds
 CHECK_INTERVAL_S = 0.1  # a second version is noticed before it has begun many streams
-# Of one router: streams that a router began so shortly before its loss are not known.
+# Of one router. Streams that began within this time before its loss are not in the log.
 APPEND_INTERVAL_S = 0.3
 # Appends of the whole fleet: a quarter of what the store takes in a second.
 MAX_APPENDS_PER_S = 100.0
--- a/src/chicorylead/outcome/stream_origins.py
+++ b/src/chicorylead/outcome/stream_origins.py
@@ -62,7 +62,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        # In the order of their times.
+        # Oldest first.
         self._origins: dict[tuple[str | None, str], Origin] = {}
 
     def record(self, stream: BegunStream, source: str) -> None:
