Add review case 3: a wrong byte makes the events before it go missing

Rule: ORDER, in a stream a piece is missing. Disruption: a faulty runner hands out one wrong byte in some answers.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,153 +1,109 @@
-"""A router that is cut off goes on with streams at another software version.
-
-TROUBLE=crash leaves out the cut; TROUBLE=0 leaves out the crash of the runner as well.
-"""
+"""A wrong byte in one event of a stream makes the router lose the events before it."""
 
 import asyncio
-import os
 import random
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 import standins  # noqa: E402
 
-N_EVENTS = 60
-EVENT_S = 0.03
-DEADLINE_MS = 12_000
-SEND_EVERY_S = 0.04
-WARM_S = 4.0  # longer than stableMs
-CUT_S = 5.5  # as on the site's days
-NEW_VERSION_AT = 0.5  # after the start of the cut
-CRASH_AT = 3.5
+N_EVENTS = 12
+EVENTS_PER_WRITE = 3
+WRITE_S = 0.06
+SPOILT_RATIO = 0.02  # of the answers of one of two runners
+LOAD_S = 20.0
+SPELL = (4.0, 10.5)  # shorter than the longest on the site's days
+SEND_EVERY_S = 0.02
 
 
 class StreamRunner(standins.Runner):
-    """A runner whose events name its software version."""
+    """A runner that hands out a wrong byte in some answers."""
+
+    is_faulty = False
+    n_answers = 0
+    n_spoilt = 0
+    rng = random.Random(6)
 
     async def work(self, first, headers, body, writer):
-        """Write the events after `Last-Event-Id`."""
+        """Write the events after `Last-Event-Id`, some at a time."""
         head = self.head(headers, Content_Type="text/event-stream")
         writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
-        begun = int(headers.get("last-event-id", 0))
-        for number in range(begun + 1, N_EVENTS + 1):
-            data = standins.event(number, f"{self.version} {number}")
+        attempt = headers["chicorylead-attempt-id"]
+        numbers = list(range(int(headers.get("last-event-id", 0)) + 1, N_EVENTS + 1))
+        self.n_answers += 1
+        is_spoilt = self.is_faulty and self.n_spoilt < SPOILT_RATIO * self.n_answers
+        self.n_spoilt += is_spoilt
+        wrong = self.rng.randint(2, 8) if is_spoilt else 0
+        for start in range(0, len(numbers), EVENTS_PER_WRITE):
+            data = b""
+            for number in numbers[start : start + EVENTS_PER_WRITE]:
+                one = standins.event(number, f"{attempt} {number}")
+                if number == wrong:
+                    # One byte: the digit of the id.
+                    one = one.replace(b"id: %d" % number, b"id: 9", 1)
+                    self.record.line("spoilt", attempt=attempt, number=number)
+                data += one
             writer.write(b"%x\r\n" % len(data) + data + b"\r\n")
             await writer.drain()
             if writer.transport.is_closing():
                 return
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(WRITE_S)
         writer.write(b"0\r\n\r\n")
 
 
 async def case(record, folder, has_trouble):
-    """Return whether more than two streams hold events of two versions."""
-    has_cut = has_trouble and os.environ.get("TROUBLE") != "crash"
+    """Return whether a stream that ends as complete lacks an event."""
     store = standins.Store()
     await store.start()
-    stream = standins.route("revise", "streaming", resumable=True, timeoutMs=12000)
+    stream = standins.route("revise", "streaming", resumable=True, maxAttempts=2)
     store.put("keyed.op", "config", standins.configuration([stream]))
-    old = StreamRunner(store, record, "r1", "1.0", slots=200)
-    old.born -= 60_000  # it has been serving for a minute
-    new = StreamRunner(store, record, "r2", "1.1", slots=200)
-    proxy = standins.TcpProxy("127.0.0.1", store.port)
-    await proxy.start()
-    peer_ports = [standins.free_port("127.0.0.1") for _ in range(2)]
-    gateways = standins.make_gateways(folder, [store.port, proxy.port], peer_ports)
-    link = standins.UdpLink(*gateways)
-    await link.start()
-    streams, tasks = [], []
-    rng = random.Random(3)
-
-    async def send_for(seconds):
-        ends_at = record.now() + seconds
-        while record.now() < ends_at:
-            name = f"s{len(tasks)}"
-            task = follow(gateways, record, name, rng, streams)
+    runners = [StreamRunner(store, record, f"r{n}", slots=64) for n in (1, 2)]
+    (gateway,) = standins.make_gateways(folder, [store.port])
+    answers = {}
+    try:
+        for runner in runners:
+            await runner.start()
+        await gateway.start()
+        await gateway.wait_ready()
+        began = record.now()
+        tasks = []
+        while (elapsed := record.now() - began) < LOAD_S:
+            is_spell = SPELL[0] <= elapsed < SPELL[1]
+            runners[0].is_faulty = has_trouble and is_spell
+            task = send(gateway, record, f"s{len(tasks)}", answers)
             tasks.append(asyncio.create_task(task))
             await asyncio.sleep(SEND_EVERY_S)
-
-    try:
-        await old.start()
-        for gateway in gateways:
-            await gateway.start()
-        for gateway in gateways:
-            await gateway.wait_ready()
-        await send_for(WARM_S)
-        proxy.is_cut = link.is_cut = has_cut
-        record.line("cut", gateway=1, is_cut=has_cut)
-        await send_for(NEW_VERSION_AT)
-        new.born = round(time.time() * 1000)
-        await new.start()
-        record.line("listed", runner=new.id, version=new.version)
-        await send_for(CRASH_AT - NEW_VERSION_AT)
-        if has_trouble:
-            await new.crash()
-        await send_for(CUT_S - CRASH_AT)
-        proxy.is_cut = link.is_cut = False
-        record.line("healed")
         await asyncio.gather(*tasks)
-        for gateway in gateways:
-            for line in gateway.log_lines("take_up", "take_up_unknown"):
-                record.line("gateway_log", gateway=gateway.number, line=line)
     finally:
-        for gateway in gateways:
-            await gateway.stop()
-        await old.stop()
-        await new.stop()
-        link.stop()
-        await proxy.stop()
+        await gateway.stop()
+        for runner in runners:
+            await runner.stop()
         await store.stop()
-    mixed = [(n, e) for n, e in streams if len({v for _, v in e}) > 1]
-    for name, events in mixed:
-        versions = "".join("a" if v == "1.0" else "b" for _, v in events)
-        record.line("mixed", stream=name, versions=versions)
-    n_whole = sum(len(events) == N_EVENTS for _, events in streams)
-    n_new = sum(any(v == "1.1" for _, v in events) for _, events in streams)
-    record.line(
-        "total", streams=len(streams), whole=n_whole, new=n_new, mixed=len(mixed)
+    lacking = []
+    n_good = 0
+    for attempt, answer in answers.items():
+        if answer.status != 200 or not answer.is_whole:
+            continue
+        events = answer.body.split(b"\n\n")[:-1]
+        numbers = [int(event.split(b"\n")[1].split(b" ")[-1]) for event in events]
+        if numbers == list(range(1, N_EVENTS + 1)):
+            n_good += 1
+            continue
+        lacking.append(attempt)
+        record.line("events", attempt=attempt, numbers=numbers)
+    n_spoilt = runners[0].n_spoilt
+    record.line("total", good=n_good, spoilt=n_spoilt, lacking=len(lacking))
+    if not n_good:
+        raise standins.CannotRun("no stream was complete")
+    return bool(lacking)
+
+
+async def send(gateway, record, attempt, answers):
+    """Send one stream."""
+    answers[attempt] = await standins.ask(
+        gateway, record, "POST", "/revise/a", attempt, 3000, body=b"x"
     )
-    if not n_whole or not n_new:
-        raise standins.CannotRun("the versions did not both serve")
-    return len(mixed) > 2
-
-
-async def follow(gateways, record, name, rng, streams):
-    """Send a stream, and take it up once elsewhere if it breaks off."""
-    first = rng.randrange(2)
-    events = []
-    ends_at = record.now() + DEADLINE_MS / 1000
-    answer = await standins.ask(
-        gateways[first], record, "POST", "/revise/a", name, DEADLINE_MS, body=b"x"
-    )
-    add_events(events, answer)
-    if events and not answer.is_whole:
-        # Another attempt, at an address that has not failed this caller.
-        await asyncio.sleep(rng.uniform(0.0, 0.3))
-        left_ms = int(1000 * (ends_at - record.now()))
-        again = await standins.ask(
-            gateways[1 - first],
-            record,
-            "POST",
-            "/revise/a",
-            f"{name}-again",
-            left_ms,
-            body=b"x",
-            Last_Event_Id=events[-1][0],
-            Resumes=name,
-        )
-        add_events(events, again)
-    streams.append((name, events))
-
-
-def add_events(events, answer):
-    """Add the whole events of an answer, as number and version."""
-    if answer.status != 200:
-        return
-    for text in answer.body.decode("latin-1").split("\n\n")[:-1]:
-        number, data = text.split("\n")
-        events.append((int(number[4:]), data.split(" ")[1]))
 
 
 standins.run_case(case, __file__)
