--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -671,7 +671,8 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             is_broken = asyncio.run(_limited(case, record, Path(folder), has_trouble))
-    except Exception as exc:  # the verdict must not be mistaken for a broken rule
+    except (Exception, asyncio.CancelledError) as exc:
+        # Not to be mistaken for a broken rule.
         record.line("could_not_run", reason=repr(exc))
         print(f"could not run: {exc!r}")
         sys.exit(2)
@@ -681,5 +682,10 @@
 
 
 async def _limited(case, record, folder, has_trouble):
+    # Processes are ended on a signal as well.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(
+            number, asyncio.current_task().cancel
+        )
     async with asyncio.timeout(110):
         return await case(record, folder, has_trouble)
