Keep the review's cases inside the doses of the site

Cases 1, 3, 4 and 5 went beyond a share, a length or a count that they quote. They now use one runner of two or three, one gateway of three, one runner of four, and count answers in the faulty time alone. run.sh names TROUBLE and record.txt.

Rules: TWICE, DRAIN, ORDER, MIXED, ORDER. Disruptions: a late second answer; an unreadable entry; a wrong byte; bytes without end; a cut beside a lost runner.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,10 +10,11 @@
 import standins  # noqa: E402
 
 LOAD_S = 48.0
-SPELL_S = 6.5  # shorter than the longest on the site's days
+SPELL_S = 5.0  # of "extra late" on the site
 SPELLS_AT = (4.0, 13.0, 22.0, 31.0, 40.0)
-EXTRA_RATIO = 0.03  # of all answers of the runner, as on the site's days
-RATE_PER_S = 150.0  # somewhat more than six slots can do
+EXTRA_RATIO = 0.03  # of the answers in such a time; "extra late" on the site
+RATE_PER_S = 180.0  # a part for the other service; more than six slots can do
+ORDERS_EVERY = 11
 WORK_S = (0.02, 0.07)  # 45 ms in the mean
 
 
@@ -35,14 +36,14 @@
         if extra is not None and self.is_faulty:
             self.record.line("extra", runner=self.id, of=extra[0])
             writer.write(extra[1])
-        self.n_answers += 1
+        self.n_answers += self.is_faulty
         await super().handle(request, reader, writer)
 
     async def turn_away(self, headers, writer):
         """Answer that there is no room, sometimes once more later."""
         data = self.not_run(headers)
         writer.write(data)
-        may_add = self.n_extras < EXTRA_RATIO * self.n_answers
+        may_add = self.n_extras + 1 <= EXTRA_RATIO * self.n_answers
         if self.is_faulty and may_add:
             self.n_extras += 1
             self._pending[writer] = (headers["chicorylead-attempt-id"], data)
@@ -60,12 +61,15 @@
     rng = random.Random(1)
     store = standins.Store()
     await store.start()
-    store.put(
-        "keyed.op",
-        "config",
-        standins.configuration([standins.route("publish", "unsafe")]),
-    )
-    runners = [ExtraRunner(store, record, "r1", slots=6, queue=2)]
+    routes = [
+        standins.route("publish", "unsafe"),
+        standins.route("order", "unsafe", service="other"),
+    ]
+    services = ("app", "other")
+    store.put("keyed.op", "config", standins.configuration(routes, services=services))
+    # One of two runners, the only one of its service, hands out wrong bytes.
+    runners = [ExtraRunner(store, record, f"r{n}", slots=6, queue=2) for n in (1, 2)]
+    runners[1].service = "other"
     gateways = standins.make_gateways(folder, [store.port] * 2)
     statuses = {}
     sends = set()
@@ -84,7 +88,8 @@
             runners[0].is_faulty = has_trouble and in_spell
             number += 1
             gateway = gateways[number % len(gateways)]
-            task = send(gateway, record, f"p{number}", statuses)
+            name = "order" if number % ORDERS_EVERY == 0 else "publish"
+            task = send(gateway, record, name, f"p{number}", statuses)
             task = asyncio.create_task(task)
             sends.add(task)
             task.add_done_callback(sends.discard)
@@ -120,12 +125,12 @@
     return bool(twice or refused)
 
 
-async def send(gateway, record, attempt, statuses):
+async def send(gateway, record, name, attempt, statuses):
     """Send one unsafe request."""
     answer = await standins.ask(
-        gateway, record, "POST", "/publish/a", attempt, 2500, body=attempt.encode()
+        gateway, record, "POST", f"/{name}/a", attempt, 2500, body=attempt.encode()
     )
     statuses[attempt] = answer.status
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -86,4 +86,4 @@
     return sum(answer.status == 200 for answer in answers)
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,10 +11,10 @@
 N_EVENTS = 12
 EVENTS_PER_WRITE = 3
 WRITE_S = 0.06
-SPOILT_RATIO = 0.02  # of the answers of one of two runners
-LOAD_S = 20.0
-SPELL = (4.0, 10.5)  # shorter than the longest on the site's days
-SEND_EVERY_S = 0.02
+SPOILT_RATIO = 0.02  # of the answers of one of three runners in that time
+LOAD_S = 14.0
+SPELL = (4.0, 9.0)  # 5 s
+SEND_EVERY_S = 0.007
 
 
 class StreamRunner(standins.Runner):
@@ -31,8 +31,9 @@
         writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
         attempt = headers["chicorylead-attempt-id"]
         numbers = list(range(int(headers.get("last-event-id", 0)) + 1, N_EVENTS + 1))
-        self.n_answers += 1
-        is_spoilt = self.is_faulty and self.n_spoilt < SPOILT_RATIO * self.n_answers
+        self.n_answers += self.is_faulty
+        most = SPOILT_RATIO * self.n_answers
+        is_spoilt = self.is_faulty and self.n_spoilt + 1 <= most
         self.n_spoilt += is_spoilt
         wrong = self.rng.randint(2, 8) if is_spoilt else 0
         for start in range(0, len(numbers), EVENTS_PER_WRITE):
@@ -58,7 +59,7 @@
     await store.start()
     stream = standins.route("revise", "streaming", resumable=True, maxAttempts=2)
     store.put("keyed.op", "config", standins.configuration([stream]))
-    runners = [StreamRunner(store, record, f"r{n}", slots=64) for n in (1, 2)]
+    runners = [StreamRunner(store, record, f"r{n}", slots=64) for n in (1, 2, 3)]
     (gateway,) = standins.make_gateways(folder, [store.port])
     answers = {}
     try:
@@ -106,4 +107,4 @@
     )
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,10 +11,10 @@
 N_EVENTS = 12
 EVENT_S = 0.02
 GOOD_EVENTS = 6  # before the bytes without end
-SPOILT_RATIO = 0.02  # of the answers of one of two runners
-LOAD_S = 20.0
-SPELL = (4.0, 10.5)  # shorter than the longest on the site's days
-SEND_EVERY_S = 0.02
+SPOILT_RATIO = 0.02  # of the answers of one of three runners in that time
+LOAD_S = 14.0
+SPELL = (4.0, 9.0)  # 5 s
+SEND_EVERY_S = 0.007
 PIECE_BYTES = 4096
 MAX_BYTES = 16_000_000  # if the router never closes
 
@@ -33,8 +33,9 @@
         writer.write(head + b"\r\n")
         attempt = headers["chicorylead-attempt-id"]
         begun = int(headers.get("last-event-id", 0))
-        self.n_answers += 1
-        is_spoilt = self.is_faulty and self.n_spoilt < SPOILT_RATIO * self.n_answers
+        self.n_answers += self.is_faulty
+        most = SPOILT_RATIO * self.n_answers
+        is_spoilt = self.is_faulty and self.n_spoilt + 1 <= most
         self.n_spoilt += is_spoilt
         for number in range(begun + 1, N_EVENTS + 1):
             if is_spoilt and number > GOOD_EVENTS:
@@ -63,7 +64,7 @@
     await store.start()
     stream = standins.route("revise", "streaming", resumable=True, maxAttempts=2)
     store.put("keyed.op", "config", standins.configuration([stream]))
-    runners = [StreamRunner(store, record, f"r{n}", slots=64) for n in (1, 2)]
+    runners = [StreamRunner(store, record, f"r{n}", slots=64) for n in (1, 2, 3)]
     (gateway,) = standins.make_gateways(folder, [store.port])
     answers = {}
     try:
@@ -111,4 +112,4 @@
     )
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,11 +16,12 @@
 N_EVENTS = 60
 EVENT_S = 0.03
 DEADLINE_MS = 12_000
-SEND_EVERY_S = 0.04
+SEND_EVERY_S = 0.015
 WARM_S = 4.0  # longer than stableMs
 CUT_S = 5.5  # as on the site's days
 NEW_VERSION_AT = 0.5  # after the start of the cut
 CRASH_AT = 3.5
+CUT = 0  # number of the gateway that is cut off, of three
 
 
 class StreamRunner(standins.Runner):
@@ -48,15 +49,17 @@
     await store.start()
     stream = standins.route("revise", "streaming", resumable=True, timeoutMs=12000)
     store.put("keyed.op", "config", standins.configuration([stream]))
-    old = StreamRunner(store, record, "r1", "1.0", slots=200)
-    old.born -= 60_000  # it has been serving for a minute
-    new = StreamRunner(store, record, "r2", "1.1", slots=200)
+    old = [StreamRunner(store, record, f"r{n}", "1.0", slots=200) for n in (1, 2, 3)]
+    for runner in old:
+        runner.born -= 60_000  # they have been serving for a minute
+    new = StreamRunner(store, record, "r4", "1.1", slots=200)
     proxy = standins.TcpProxy("127.0.0.1", store.port)
     await proxy.start()
-    peer_ports = [standins.free_port("127.0.0.1") for _ in range(2)]
-    gateways = standins.make_gateways(folder, [store.port, proxy.port], peer_ports)
-    link = standins.UdpLink(*gateways)
-    await link.start()
+    own_port, port = (standins.free_port("127.0.0.1") for _ in range(2))
+    stores = [proxy.port, store.port, store.port]
+    gateways = standins.make_gateways(folder, stores, [own_port, port, port])
+    links = standins.UdpLinks(gateways[CUT], gateways[1:])
+    await links.start()
     streams, tasks = [], []
     rng = random.Random(3)
 
@@ -69,14 +72,15 @@
             await asyncio.sleep(SEND_EVERY_S)
 
     try:
-        await old.start()
+        for runner in old:
+            await runner.start()
         for gateway in gateways:
             await gateway.start()
         for gateway in gateways:
             await gateway.wait_ready()
         await send_for(WARM_S)
-        proxy.is_cut = link.is_cut = has_cut
-        record.line("cut", gateway=1, is_cut=has_cut)
+        proxy.is_cut = links.is_cut = has_cut
+        record.line("cut", gateway=CUT, is_cut=has_cut)
         await send_for(NEW_VERSION_AT)
         new.born = round(time.time() * 1000)
         await new.start()
@@ -85,7 +89,7 @@
         if has_trouble:
             await new.crash()
         await send_for(CUT_S - CRASH_AT)
-        proxy.is_cut = link.is_cut = False
+        proxy.is_cut = links.is_cut = False
         record.line("healed")
         await asyncio.gather(*tasks)
         for gateway in gateways:
@@ -94,9 +98,9 @@
     finally:
         for gateway in gateways:
             await gateway.stop()
-        await old.stop()
-        await new.stop()
-        link.stop()
+        for runner in (*old, new):
+            await runner.stop()
+        links.stop()
         await proxy.stop()
         await store.stop()
     mixed = [(n, e) for n, e in streams if len({v for _, v in e}) > 1]
@@ -115,7 +119,7 @@
 
 async def follow(gateways, record, name, rng, streams):
     """Send a stream, and take it up once elsewhere if it breaks off."""
-    first = rng.randrange(2)
+    first = rng.randrange(len(gateways))
     events = []
     ends_at = record.now() + DEADLINE_MS / 1000
     answer = await standins.ask(
@@ -126,8 +130,9 @@
         # Another attempt, at an address that has not failed this caller.
         await asyncio.sleep(rng.uniform(0.0, 0.3))
         left_ms = int(1000 * (ends_at - record.now()))
+        others = [n for n in range(len(gateways)) if n != first]
         again = await standins.ask(
-            gateways[1 - first],
+            gateways[rng.choice(others)],
             record,
             "POST",
             "/revise/a",
@@ -150,4 +155,4 @@
         events.append((int(number[4:]), data.split(" ")[1]))
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -215,12 +215,15 @@
     }
 
 
-def configuration(routes, version=1):
+def configuration(routes, version=1, services=("app",)):
     """Return a configuration."""
     return {
         "version": version,
         "routeTable": routes,
-        "services": [{"name": "app", "healthPath": "/healthz", "maxConns": 100}],
+        "services": [
+            {"name": name, "healthPath": "/healthz", "maxConns": 100}
+            for name in services
+        ],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
@@ -237,6 +240,8 @@
 class Runner(HttpStandin):
     """A runner; `work` answers the requests that it runs."""
 
+    service = "app"
+
     def __init__(self, store, record, id, version="1.0", slots=6, queue=24):
         super().__init__()
         self.store, self.record = store, record
@@ -275,7 +280,7 @@
         """Write the entry."""
         self.seq += 1
         entry = {
-            "service": "app",
+            "service": self.service,
             "address": f"{self.host}:{self.port}",
             "zone": "a",
             "version": self.version,
@@ -414,40 +419,54 @@
         pass
 
 
-class UdpLink:
-    """Carries the datagrams between two gateways; while cut, it drops them.
+class UdpLinks:
+    """Carries the datagrams between one gateway and the others; while cut, none.
 
-    The gateways use different ports. At the port by which each one knows the other, a
-    socket of the link receives, and sends from there to the other's own port.
+    That gateway uses a port of its own. At the port by which each one knows the other,
+    a socket of the links receives, and sends from there to the other's own port.
     """
 
-    def __init__(self, first, second):
-        self._ends = (first, second)
+    def __init__(self, single, others):
+        self._single = single
+        self._others = others
         self.is_cut = False
-        self._transports = {}
+        self._at_single = None
+        self._at_others = {}
 
     async def start(self):
-        """Open both sockets."""
-        loop = asyncio.get_running_loop()
-        for near, far in (self._ends, self._ends[::-1]):
-            # `near` sends to the host of `far` at its own port.
-            transport, _ = await loop.create_datagram_endpoint(
-                lambda near=near, far=far: _Datagrams(
-                    lambda data, addr: self._carry(near, far, data)
-                ),
-                local_addr=(far.host, near.peer_port),
+        """Open all sockets."""
+        self._at_single = await self._open(
+            self._single.host, self._others[0].peer_port, self._carry_in
+        )
+        for other in self._others:
+            self._at_others[other.host] = await self._open(
+                other.host, self._single.peer_port, self._make_carry_out(other)
             )
-            self._transports[near.number] = transport
 
-    def _carry(self, near, far, data):
-        if not self.is_cut:
-            # The socket at `near`'s host, so that the sender is recognised.
-            self._transports[far.number].sendto(data, (far.host, far.peer_port))
+    async def _open(self, host, port, on_datagram):
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: _Datagrams(on_datagram), local_addr=(host, port)
+        )
+        return transport
+
+    def _carry_in(self, data, addr):
+        """Carry a datagram of one of the others, seen from its own host."""
+        if not self.is_cut and addr[0] in self._at_others:
+            target = self._single.host, self._single.peer_port
+            self._at_others[addr[0]].sendto(data, target)
+
+    def _make_carry_out(self, other):
+        def carry(data, addr):
+            if not self.is_cut:
+                self._at_single.sendto(data, (other.host, other.peer_port))
+
+        return carry
 
     def stop(self):
-        """Close both sockets."""
-        for transport in self._transports.values():
-            transport.close()
+        """Close all sockets."""
+        for transport in (self._at_single, *self._at_others.values()):
+            if transport is not None:
+                transport.close()
 
 
 # -- gateways
@@ -658,16 +677,18 @@
 # -- running a case
 
 
-def run_case(case, file):
+def run_case(case):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise.
 
     Args:
         case: Called with the record, a folder for temporary files and whether the
             disruption happens; returns whether the rule was broken.
-        file: The script of the case, beside which the record is written.
+
+    The environment, which `run.sh` sets: TROUBLE is 0 to leave out the disruption, and
+    RECORD is the path of the record.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(file).resolve().parent / "record.txt")
+    record = Record(os.environ.get("RECORD", "record.txt"))
     try:
         with tempfile.TemporaryDirectory() as folder:
             is_broken = asyncio.run(_limited(case, record, Path(folder), has_trouble))
--- a/review/more/budget/case.py
+++ b/review/more/budget/case.py
@@ -122,4 +122,4 @@
     statuses[name] = answer.status
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/more/herd/case.py
+++ b/review/more/herd/case.py
@@ -1,4 +1,4 @@
-"""Half of the gateways are killed, and the others keep a runner that has left too long."""
+"""Half of the gateways are killed; the others keep a runner that has left too long."""
 
 import asyncio
 import signal
@@ -94,4 +94,4 @@
     statuses[attempt] = answer.status
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
--- a/review/more/lost/case.py
+++ b/review/more/lost/case.py
@@ -109,4 +109,4 @@
     return bool(lost)
 
 
-standins.run_case(case, __file__)
+standins.run_case(case)
