Forward only events of a stream, and end its run at the first other bytes

Cause: EventSplitter passed on whatever stood before an empty line without an id, and only counted its bytes; an id that was no number was taken for the next event.

Change: a block is forwarded only if it is an event with one number as its id; comments and blank lines wait for the event after them; anything else ends the run as garbled, after the sound events of the same read were forwarded. The caller then has exactly the events up to last_id, where the next run goes on, which is why this works.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -87,6 +87,7 @@
         self.is_answering = False
         self._clock = asyncio.get_running_loop().time
         self._sent_at = 0.0
+        self._last_event_at = 0.0
         self.first_event_s: float | None = None
         self.longest_pause_s = 0.0
         self.head: AnswerHead | None = None
@@ -202,9 +203,8 @@
         return Served(head.status)
 
     async def _forward_stream(self, conn: Connection, head: AnswerHead) -> SendOutcome:
-        last_at = self._clock()
-        due_at = last_at + self._first_timeout_s
-        n_events = self._events.n_events
+        self._last_event_at = self._clock()
+        due_at = self._last_event_at + self._first_timeout_s
         while True:
             part = await conn.read_body_part(
                 min(due_at - self._clock(), self._remaining_s())
@@ -215,33 +215,35 @@
                 events = self._events.feed(part)
             except MalformedStream as exc:
                 raise Failure(FailureKind.GARBLED, str(exc)) from exc
-            if not events:
-                continue
-            now = self._clock()
-            # Only new events extend the timeout; other bytes do not.
-            if self._events.n_events > n_events:
-                n_events = self._events.n_events
-                due_at = now + self._event_timeout_s
-            if self.first_event_s is None:
-                self._record_first_event(head)
-            else:
-                self.longest_pause_s = max(self.longest_pause_s, now - last_at)
-                if now - self._sent_at - self.first_event_s > ANSWER_BEGUN_S:
-                    self._record_answering()
-            last_at = now
-            if not self._reply.is_started:
-                self._on_begun()
-                await self._reply.start(head.status, head.headers)
-            await self._reply.write(events)
+            if events:
+                # Only new events extend the timeout; other bytes do not.
+                due_at = self._clock() + self._event_timeout_s
+                await self._forward_events(events, head)
+            if self._events.fault is not None:
+                raise Failure(FailureKind.GARBLED, str(self._events.fault))
         if self._events.has_partial or not self._reply.is_started:
             raise Failure(
                 FailureKind.BROKEN, "stream ended before an event was complete"
             )
         self._record_answering()
-        await self._reply.finish()
+        await self._reply.finish(self._events.end())
         self._upstream.record_answer(None)
         return Served(head.status)
 
+    async def _forward_events(self, events: bytes, head: AnswerHead) -> None:
+        now = self._clock()
+        if self.first_event_s is None:
+            self._record_first_event(head)
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self._last_event_at)
+            if now - self._sent_at - self.first_event_s > ANSWER_BEGUN_S:
+                self._record_answering()
+        self._last_event_at = now
+        if not self._reply.is_started:
+            self._on_begun()
+            await self._reply.start(head.status, head.headers)
+        await self._reply.write(events)
+
     def _record_answering(self) -> None:
         if not self.is_answering:
             self.is_answering = True
--- a/src/chicorylead/upstream/events.py
+++ b/src/chicorylead/upstream/events.py
@@ -1,9 +1,17 @@
-"""Splits an event stream into whole events and their ids."""
+"""Splits an event stream into whole events and their ids.
+
+What is passed on is exactly the events up to `last_id`, in order: bytes that are not an
+event are held back, or end the run, so that the next one can go on after `last_id`.
+"""
+
+import re
 
 __all__ = ["EventSplitter", "MalformedStream", "StreamGap"]
 
 _END = b"\n\n"
-_ID = b"id:"
+_ID = re.compile(rb"id:[ \t]*([0-9]{1,18})[ \t\r]*")
+# A comment, or a field; the names of fields are open, so that upstreams may add some.
+_LINE = re.compile(rb":.*|[a-z][a-z0-9-]*(:.*)?", re.DOTALL)
 
 
 # Bytes without a new event: more than any event of a few tokens, and more than the
@@ -25,12 +33,16 @@
     Attributes:
         last_id: Id of the last event passed on; None before the first.
         n_events: Events passed on.
+        fault: Why nothing after the last event of this run can be used, if so.
     """
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
         self.n_events = 0
+        self.fault: MalformedStream | None = None
         self._partial = b""
+        # Comments and blank lines, which are passed on with the event after them.
+        self._held = b""
         self._n_bytes_without_event = 0
 
     @property
@@ -39,38 +51,51 @@
         return bool(self._partial.strip())
 
     def feed(self, data: bytes) -> bytes:
-        """Return the new whole events.
+        """Return the new whole events; `fault` tells whether they are the last ones.
 
         Raises:
             StreamGap: An event between the last one and a new one is missing.
-            MalformedStream: Too many bytes came without a new event.
         """
+        if self.fault is not None:
+            return b""
         self._n_bytes_without_event += len(data)
-        events = self._split(data)
-        if self._n_bytes_without_event > MAX_BYTES_WITHOUT_EVENT:
-            raise MalformedStream(
+        *blocks, self._partial = (self._partial + data).split(_END)
+        events = self._pass_on(blocks)
+        if self.fault is None and self._n_bytes_without_event > MAX_BYTES_WITHOUT_EVENT:
+            self.fault = MalformedStream(
                 f"{self._n_bytes_without_event} bytes without an event"
             )
         return events
 
-    def _split(self, data: bytes) -> bytes:
-        whole, found, partial = (self._partial + data).rpartition(_END)
-        self._partial = partial
-        if not found:
-            return b""
-        events = [event for event in whole.split(_END) if self._is_new(event)]
-        return b"".join(event + _END for event in events)
+    def end(self) -> bytes:
+        """Return what follows the last event of a complete stream."""
+        return self._held + self._partial
 
     def restart(self) -> None:
         """Discard a partial event; the next run resumes after the last whole one."""
+        self.fault = None
         self._partial = b""
+        self._held = b""
         self._n_bytes_without_event = 0
 
-    def _is_new(self, event: bytes) -> bool:
-        event_id = _id_of(event)
-        if event_id is None:
-            return True
-        if self.last_id is not None and self.last_id.isdigit() and event_id.isdigit():
+    def _pass_on(self, blocks: list[bytes]) -> bytes:
+        events = []
+        for block in blocks:
+            try:
+                event_id = _id_of(block)
+            except MalformedStream as exc:
+                self.fault = exc
+                break
+            if event_id is None:
+                self._held += block + _END
+                continue
+            if self._is_new(event_id):
+                events.append(self._held + block + _END)
+            self._held = b""
+        return b"".join(events)
+
+    def _is_new(self, event_id: str) -> bool:
+        if _is_number(self.last_id):
             step = int(event_id) - int(self.last_id)
             if step <= 0:
                 return False
@@ -82,8 +107,29 @@
         return True
 
 
-def _id_of(event: bytes) -> str | None:
-    for line in event.split(b"\n"):
-        if line.startswith(_ID):
-            return line[len(_ID) :].strip().decode("latin-1")
-    return None
+def _is_number(event_id: str | None) -> bool:
+    """Return whether an id, which a caller may have sent, is a number of an event."""
+    return event_id is not None and bool(_ID.fullmatch(b"id:" + event_id.encode()))
+
+
+def _id_of(block: bytes) -> str | None:
+    """Return the id of an event, or None for comments and blank lines alone.
+
+    Raises:
+        MalformedStream: The bytes are no event with a number as its id.
+    """
+    try:
+        block.decode()
+    except UnicodeDecodeError as exc:
+        raise MalformedStream(f"not UTF-8: {exc.reason}") from exc
+    lines = [line for line in block.split(b"\n") if line]
+    for line in lines:
+        if not _LINE.fullmatch(line):
+            raise MalformedStream(f"not a field: {line[:40]!r}")
+    fields = [line for line in lines if not line.startswith(b":")]
+    if not fields:
+        return None
+    ids = [found[1] for line in fields if (found := _ID.fullmatch(line))]
+    if len(ids) != 1:
+        raise MalformedStream(f"{len(ids)} ids in an event: {fields[0][:40]!r}")
+    return ids[0].decode()
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from random import Random
 
 from tests.gateway.fakes import ReceivedRequest, encode_request, sealed_response
@@ -17,6 +18,8 @@
 NOT_RUN = "HTTP/1.1 503 Busy\r\nChicorylead-Not-Executed: 1\r\nContent-Length: 0\r\n"
 WRONG_INSTANCE = b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
 EVENT_INTERVAL_S = 0.02
+FOREIGN_BYTES = 4096
+FOREIGN_INTERVAL_S = 0.002
 MAX_WORK_S = 0.03
 DEADLINE_MS = 2500
 MAX_TAKE_UPS = 3
@@ -27,6 +30,14 @@
 PATHS = {"look": "GET", "publish": "POST", "revise": "POST"}
 
 
+class _StreamFault(Enum):
+    """What a faulty upstream does in the middle of a stream."""
+
+    NONE = 0
+    CUT = 1
+    FOREIGN = 2
+
+
 class SoakUpstream:
     """Behaviour of an upstream that fails a fraction of its requests.
 
@@ -86,9 +97,10 @@
             return
         self._ledger.record_run(request_id)
         if received.target.startswith("/revise/"):
-            await self._stream(
-                received, writer, request_id, is_cut=draw < self.fault_ratio
-            )
+            fault = _StreamFault.NONE
+            if draw < self.fault_ratio:
+                fault = _StreamFault(1 + int(draw * 4e6) % (len(_StreamFault) - 1))
+            await self._stream(received, writer, request_id, fault)
             return
         await asyncio.sleep(MAX_WORK_S * self._rng.random())
         if draw < self.fault_ratio / 2:
@@ -120,7 +132,7 @@
         received: ReceivedRequest,
         writer: asyncio.StreamWriter,
         request_id: str,
-        is_cut: bool,
+        fault: _StreamFault,
     ) -> None:
         head = STREAM_HEAD.format(id=request_id).encode()
         writer.write(self._with_notices(head))
@@ -128,15 +140,26 @@
         stream_id = received.headers.get("resumes", request_id)
         events = expected_events(stream_id, first, self.version)
         for number, event in enumerate(events):
-            if is_cut and number == 3:
+            if number == 3 and fault is _StreamFault.CUT:
                 writer.write(b"%x\r\n" % len(event) + event[:5])
                 writer.transport.abort()
                 return
+            if number == 3 and fault is _StreamFault.FOREIGN:
+                await self._write_foreign_bytes(writer)
+                return
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(b"0\r\n\r\n")
 
+    async def _write_foreign_bytes(self, writer: asyncio.StreamWriter) -> None:
+        """Write bytes that are no events until the router closes the connection."""
+        while not writer.transport.is_closing():
+            data = self._rng.randbytes(FOREIGN_BYTES) + b"\n\n"
+            writer.write(b"%x\r\n" % len(data) + data + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(FOREIGN_INTERVAL_S)
+
 
 class Caller:
     """Sends one request after the other, on one connection until that closes.
