Prove a single software version only from entries that are current

What callers saw: streams of two software versions.

Cause: StreamJournal took itself to know all versions after 20 s, or after one read of the log, however old its entries were. A gap in them hid versions that had come and gone in the same way.

Change: a take-up that nobody knows goes on only if the entries were current 0.1 s ago or are read once more; take-ups share that read. After a gap of 1.2 s a router counts as started anew. The streams that it refuses are told when to come back. It works because streams begin only after their version is listed, which such a read would have shown.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -169,6 +169,7 @@
         self._journal = StreamJournal(
             StreamOrigins(self._clock),
             self._registry,
+            self._followers[Stream.UPSTREAMS],
             StreamLog(self._store, self.log),
             lambda: 1 + len(self._peers.state_peers()),
             incarnation // NS_PER_MS,
--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -37,6 +37,8 @@
 RETRY_MIN_S = 0.1  # several retries within the time in which a change must apply
 RETRY_MAX_S = 0.6  # a recovered store is noticed well within 2 s
 STANDBY_CHECK_S = 0.1  # a twelfth of the age at which this router reads the store
+# An upstream is listed for longer, so that none comes and goes unnoticed within it.
+MAX_GAP_S = 1.2
 CHECK_PAUSE_S = 0.2  # meanwhile the checks of other streams are answered
 # What peers report ages on its way. Longer than a datagram takes, so that routers that
 # report to each other do not make their records look younger.
@@ -80,6 +82,8 @@
         answered_at: Event-loop time of the last answer of the store, seconds.
         current_at: Event-loop time at which the store had no further records, as it
             told this router or a peer, seconds.
+        continuous_since: Event-loop time since which the records were never older than
+            `MAX_GAP_S`, seconds. Of what came and went in a gap, nothing may be known.
     """
 
     def __init__(
@@ -123,6 +127,7 @@
         self.source = STORE_SOURCE
         self.answered_at = float("-inf")
         self.current_at = float("-inf")
+        self.continuous_since = float("inf")
         # Of the last call: when it was sent, and for which moment its answer holds.
         self._asked_at = float("-inf")
         self._stated_at = float("-inf")
@@ -151,8 +156,32 @@
 
     def confirm(self, at: float) -> None:
         """Learn that the records were current at an event-loop time."""
+        if at - self.current_at > MAX_GAP_S:
+            self.continuous_since = at
         self.current_at = max(self.current_at, at)
 
+    async def check(self) -> None:
+        """Read what the store has added, beside a read that waits.
+
+        Raises:
+            StoreUnavailable: The records are not known to be current.
+        """
+        asked_at = self._clock()
+        has_more = self.is_complete
+        if not has_more:
+            raise StoreUnavailable("the stream has not been read yet")
+        while has_more:
+            start = self.end
+            try:
+                page = await self._store.read(self.stream, start.offset, 0.0)
+            except StreamTrimmed as exc:
+                raise StoreUnavailable(str(exc), exc.era) from exc
+            if page.era != start.era:
+                raise StoreUnavailable("the answer is of another era", page.era)
+            self.apply_page(page)
+            has_more = page.has_more
+        self.confirm(asked_at)
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         self._needs_snapshot = True
--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -50,7 +50,9 @@
 MAX_APPENDS_PER_S = 100.0
 READ_TIMEOUT_S = 0.5  # an answer of the store takes some milliseconds
 READ_RETRY_S = 0.3
-READ_INTERVAL_S = 0.1  # callers may ask for any number of streams that nobody knows
+# Callers may ask for any number of streams that nobody knows. A stream takes longer to
+# begin at a version that has just been listed, to break off and to be taken up.
+READ_INTERVAL_S = 0.1
 MAX_QUEUED = 5_000  # streams that are not appended yet
 STREAMS_PER_RECORD = 500
 
@@ -65,12 +67,29 @@
         """Return the streams that were appended since the last call."""
 
 
+class UpstreamEntries(Protocol):
+    """The entries of upstreams as this router knows them.
+
+    Attributes:
+        current_at: Event-loop time at which nothing was missing, seconds.
+        continuous_since: Event-loop time since which none can have come and gone
+            unnoticed, seconds.
+    """
+
+    current_at: float
+    continuous_since: float
+
+    async def check(self) -> None:
+        """Read what was added; raise `StoreUnavailable` if that is not known."""
+
+
 class StreamJournal:
     """Knows at which software versions the streams of callers began.
 
     Args:
         origins: The streams that began lately.
         registry: The upstreams that serve.
+        entries: The entries that the registry was built from.
         stream_log: The log of streams.
         n_routers: Returns the number of routers that append to the log.
         started_ms: Wall-clock time of the start of this router, milliseconds.
@@ -83,6 +102,7 @@
         self,
         origins: StreamOrigins,
         registry: Registry,
+        entries: UpstreamEntries,
         stream_log: BegunStreamLog,
         n_routers: Callable[[], int],
         started_ms: int,
@@ -91,6 +111,7 @@
     ) -> None:
         self._origins = origins
         self._registry = registry
+        self._entries = entries
         self._stream_log = stream_log
         self._n_routers = n_routers
         self._started_ms = started_ms
@@ -109,7 +130,7 @@
         self._mixed: set[ServiceName] = set()
         self._to_tell: list[BegunStream] = []
         self._to_append: list[BegunStream] = []
-        self._has_read_log = False
+        self._log_read_at = float("-inf")
         self._reading = asyncio.Lock()
         self._read_began_at = float("-inf")
         self._read_not_before = float("-inf")
@@ -179,23 +200,34 @@
             if name == service and told_at >= since
         }
         return ServingVersions(
-            lately, self._is_complete(service, now), self._has_read_log
+            lately,
+            self._is_complete(service, now),
+            now - self._entries.current_at <= READ_INTERVAL_S,
+            self._has_read_log,
         )
 
+    @property
+    def _has_read_log(self) -> bool:
+        """Return whether the log was read since this router knows all entries."""
+        return self._log_read_at >= self._entries.continuous_since
+
     def _is_complete(self, service: ServiceName, now: float) -> bool:
         """Return whether this router knows all versions that have served lately.
 
-        One that has just started knows them if an upstream is older than any stream,
-        so that its version has served all the while, and the log tells of no other.
+        One that has just started, or missed entries, knows them if an upstream is older
+        than any stream, so that its version has served all the while, and the log tells
+        of no other.
         """
-        if now - self._started_at >= MEMORY_S:
+        since = self._entries.continuous_since
+        if now - since >= MEMORY_S:
             return True
         if not self._has_read_log:
             return False
         oldest_ms = self._registry.oldest_born_ms(service)
         if oldest_ms is None:
             return False
-        return self._started_ms - oldest_ms >= 1000 * MEMORY_S
+        since_ms = self._started_ms + 1000 * (since - self._started_at)
+        return since_ms - oldest_ms >= 1000 * MEMORY_S
 
     # -- take-ups
 
@@ -208,7 +240,7 @@
         if not req.takes_up:
             return req
         if self._find(req) is None and not self._is_sole(req.service):
-            await self._refresh()
+            await self._refresh(req.service)
         services = {service for service, _ in req.operation.split}
         decision = decide_take_up(
             self._find(req), req.service, services, self.serving(req.service)
@@ -237,6 +269,8 @@
                     service=req.service,
                     versions=versions,
                     up_s=self._clock() - self._started_at,
+                    entries_age_s=self._clock() - self._entries.current_at,
+                    continuous_s=self._clock() - self._entries.continuous_since,
                     has_read_log=self._has_read_log,
                     detail=detail,
                 )
@@ -246,8 +280,7 @@
         return self._origins.find(req.head.resumes, req.organisation)
 
     def _is_sole(self, service: ServiceName) -> bool:
-        serving = self.serving(service)
-        return len(serving.lately) == 1 and serving.is_complete
+        return self.serving(service).sole is not None
 
     # -- log
 
@@ -306,16 +339,23 @@
                 "stream_log_failed", n_streams=len(self._to_append), reason=exc
             )
 
-    async def _refresh(self) -> bool:
-        """Read the log up to its end; return whether it is known.
+    async def _refresh(self, service: ServiceName | None = None) -> bool:
+        """Read the entries and the log up to their ends.
 
         Take-ups that come together share a read, and do not wait for a store that has
         just failed.
+
+        Args:
+            service: Service of a take-up, which needs no log if the entries show that a
+                single version has served; None to read the log in any case.
+
+        Returns:
+            Whether the log is known.
         """
         asked_at = self._clock()
         async with self._reading:
             now = self._clock()
-            if self._read_began_at >= asked_at or now < self._read_not_before:
+            if self._is_answered(service, asked_at) or now < self._read_not_before:
                 return self._has_read_log
             pause_s = self._read_began_at + READ_INTERVAL_S - now
             if pause_s > 0:
@@ -323,15 +363,26 @@
             self._read_began_at = self._clock()
             try:
                 async with asyncio.timeout(READ_TIMEOUT_S):
-                    streams = await self._stream_log.read()
+                    await self._read(service)
             except (StoreUnavailable, TimeoutError) as exc:
                 self._metrics.count("stream_log.errors", call="read")
                 self._log.warning("stream_log_unread", reason=repr(exc))
                 self._read_not_before = self._clock() + READ_RETRY_S
-                return self._has_read_log
-            self.learn(streams, LOG_SOURCE)
-            self._has_read_log = True
-            return True
+            return self._has_read_log
+
+    def _is_answered(self, service: ServiceName | None, asked_at: float) -> bool:
+        """Return whether a read that another take-up began tells what is asked."""
+        is_sole = service is not None and self._is_sole(service)
+        return is_sole or self._log_read_at >= asked_at
+
+    async def _read(self, service: ServiceName | None) -> None:
+        if service is not None and not self.serving(service).is_mixed:
+            await self._entries.check()
+            if self._is_sole(service):
+                return
+        began_at = self._clock()
+        self.learn(await self._stream_log.read(), LOG_SOURCE)
+        self._log_read_at = began_at
 
 
 def _first_attempt(req: ForwardRequest) -> RequestId:
--- a/src/chicorylead/outcome/take_up.py
+++ b/src/chicorylead/outcome/take_up.py
@@ -4,7 +4,8 @@
 two versions write does not fit together, and upstreams do not check it. Callers take
 their streams up at any router, also just after all routers were restarted. A router
 knows where a stream began, or can prove that it does not matter, as only one version
-has served for as long as streams last; else it refuses at once.
+has served for as long as streams last; else it refuses at once. A router that is cut
+off proves nothing from the records that it had.
 """
 
 from collections.abc import Set
@@ -16,7 +17,8 @@
 __all__ = ["GoOn", "ServingVersions", "Unprovable", "decide_take_up"]
 
 SOLE_SOURCE = "sole_version"
-# A router that has just started reads the log within some tens of milliseconds.
+# A router that has just started reads the log within some tens of milliseconds, and
+# one that was cut off reads the records as soon.
 NOT_READ_RETRY_S = 0.3
 
 
@@ -26,14 +28,25 @@
 
     Attributes:
         lately: Versions that served within the time for which streams last.
-        is_complete: Whether no other version can have served within that time.
+        is_complete: Whether no other version can have served within that time, as far
+            as the records tell.
+        is_current: Whether the records hold for this moment.
         has_read_log: Whether the streams that the log holds are known.
     """
 
     lately: Set[SoftwareVersion]
     is_complete: bool
+    is_current: bool
     has_read_log: bool
 
+    @property
+    def sole(self) -> SoftwareVersion | None:
+        """Return the only version at which streams can have begun, if that is sure."""
+        if len(self.lately) != 1 or not self.is_complete or not self.is_current:
+            return None
+        (version,) = self.lately
+        return version
+
     @property
     def is_mixed(self) -> bool:
         """Return whether streams of several versions may be under way."""
@@ -84,9 +97,10 @@
         if began not in services:
             return Unprovable(f"its service {began!r} is not used any more", None)
         return GoOn(began, SoftwareVersion(origin.stream.version), origin.source)
-    if len(serving.lately) == 1 and serving.is_complete:
-        (version,) = serving.lately
-        return GoOn(service, version, SOLE_SOURCE)
+    if serving.sole is not None:
+        return GoOn(service, serving.sole, SOLE_SOURCE)
+    if not serving.is_current:
+        return Unprovable("the records are not current", NOT_READ_RETRY_S)
     if not serving.has_read_log:
         return Unprovable("the log has not been read yet", NOT_READ_RETRY_S)
     return Unprovable("nobody knows the version that began it", None)
--- a/tests/gateway/test_store_silence.py
+++ b/tests/gateway/test_store_silence.py
@@ -4,13 +4,19 @@
 
 import pytest
 
-from chicorylead.gateway.follower import HOP_S, READ_PAUSE_S, StreamFollower
+from chicorylead.gateway.follower import (
+    HOP_S,
+    MAX_GAP_S,
+    READ_PAUSE_S,
+    StreamFollower,
+)
 from chicorylead.gateway.records_age import CHECK_AGE_S, CHECK_JITTER, MAX_AGE_S
 from chicorylead.traffic.stream import (
     StoreUnavailable,
     Stream,
     StreamPage,
     StreamRecord,
+    StreamTrimmed,
 )
 from tests.gateway.fakes import configuration, make_follower, registry_entry
 from tests.gateway.test_gateway import GatewayHarness, _run_check, _serve
@@ -181,3 +187,61 @@
     (line,) = log_capture.lines("store_lost")
     assert float(line["asked_s"]) == pytest.approx(0.3, abs=0.08)
     assert float(line["answered_s"]) >= float(line["asked_s"])
+
+
+class _PageStore:
+    """Answers reads with the next of some pages, or with an error."""
+
+    def __init__(self, *pages: StreamPage | Exception) -> None:
+        self._pages = list(pages)
+
+    async def read(self, stream: Stream, start: int, wait_s: float) -> StreamPage:
+        page = self._pages.pop(0)
+        if isinstance(page, Exception):
+            raise page
+        return page
+
+
+def _page(number: int, era: int = 0, has_more: bool = False) -> StreamPage:
+    record = StreamRecord("config", b'{"version":%d}' % number, number, era)
+    return StreamPage([record], number + 1, era, has_more)
+
+
+def test_a_check_reads_to_the_end_and_makes_the_records_current():
+    async def main() -> None:
+        follower = _follower(_PageStore(_page(0, has_more=True), _page(1)))
+        with pytest.raises(StoreUnavailable):
+            await follower.check()  # nothing has been read yet
+        follower.is_complete = True
+        await follower.check()
+        assert follower.end == (0, 2)
+        assert follower.age_s < 0.1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [StoreUnavailable("log-read: silent"), StreamTrimmed("log-read"), _page(0, era=1)],
+)
+def test_a_check_without_a_usable_answer_does_not_make_the_records_current(answer):
+    async def main() -> None:
+        follower = _follower(_PageStore(answer))
+        follower.is_complete = True
+        with pytest.raises(StoreUnavailable):
+            await follower.check()
+        assert follower.age_s == float("inf")
+
+    asyncio.run(main())
+
+
+def test_records_are_continuous_until_they_were_too_old_to_show_what_came_and_went():
+    async def main() -> None:
+        follower = _follower(_PageStore())
+        for at in (100.0, 101.0, 102.1):
+            follower.confirm(at)
+        assert follower.continuous_since == 100.0
+        follower.confirm(102.2 + MAX_GAP_S)
+        assert follower.continuous_since == 102.2 + MAX_GAP_S
+
+    asyncio.run(main())
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -235,3 +235,29 @@
             assert all(not upstream.received for upstream in pair.upstreams.values())
 
     asyncio.run(main())
+
+
+# Guards against a router that is cut off and takes the version that it knows for the
+# only one, while others begin streams at a new one.
+def test_a_router_that_the_store_does_not_answer_takes_up_no_unknown_stream():
+    async def check(harness: GatewayHarness) -> None:
+        async def take_up(attempt: str) -> tuple[int, dict[str, str]]:
+            answer = await harness.call(
+                "/revise/a",
+                chicorylead_attempt_id=attempt,
+                resumes=f"before-{attempt}",
+                last_event_id="2",
+            )
+            return answer[:2]
+
+        assert (await take_up("second"))[0] == 200
+        harness.store.is_silent = True
+        await asyncio.sleep(0.2)
+        status, headers = await take_up("third")
+        assert status == 503
+        assert 0 < float(headers["retry-after"]) < 1
+        harness.store.is_silent = False
+        await asyncio.sleep(float(headers["retry-after"]))
+        assert (await take_up("fourth"))[0] == 200
+
+    _run_check([_stream("v1")], check)
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from types import SimpleNamespace
 
 import pytest
@@ -14,6 +14,7 @@
     APPEND_INTERVAL_S,
     MAX_APPENDS_PER_S,
     READ_INTERVAL_S,
+    READ_RETRY_S,
     StreamJournal,
 )
 from chicorylead.ids import OrganisationId, RequestId, ServiceName, SoftwareVersion
@@ -49,9 +50,11 @@
     return Origin(_stream("a", version), "log", 0.0)
 
 
-def _serving(*lately: str, is_complete: bool = True, has_read_log: bool = True):
+def _serving(*lately: str):
     versions = frozenset(SoftwareVersion(version) for version in lately)
-    return ServingVersions(versions, is_complete, has_read_log)
+    return ServingVersions(
+        versions, is_complete=True, is_current=True, has_read_log=True
+    )
 
 
 # -- the decision
@@ -61,22 +64,23 @@
     began=st.sampled_from([None, "v1", "v2"]),
     lately=st.sets(st.sampled_from(["v1", "v2", "v3"])),
     is_complete=st.booleans(),
+    is_current=st.booleans(),
     has_read_log=st.booleans(),
 )
 def test_a_stream_never_goes_on_at_a_version_that_is_not_proved(
-    began, lately, is_complete, has_read_log
+    began, lately, is_complete, is_current, has_read_log
 ):
     origin = None if began is None else _origin(began)
-    serving = ServingVersions(frozenset(lately), is_complete, has_read_log)
+    serving = ServingVersions(frozenset(lately), is_complete, is_current, has_read_log)
     match decide_take_up(origin, SERVICE, {SERVICE}, serving):
         case GoOn(version=version):
             assert version == began or (began is None and lately == {version})
-            assert began is not None or is_complete
+            assert began is not None or (is_complete and is_current)
         case Unprovable(retry_after_s=retry_after_s):
             assert began is None
-            assert not (len(lately) == 1 and is_complete)
+            assert not (len(lately) == 1 and is_complete and is_current)
             # Only a router that may still learn of it tells the caller to return.
-            assert (retry_after_s is None) == has_read_log
+            assert (retry_after_s is None) == (has_read_log and is_current)
 
 
 def test_a_stream_does_not_go_on_at_a_service_that_its_operation_no_longer_uses():
@@ -181,14 +185,45 @@
         return self._oldest_born_ms
 
 
+class _Entries:
+    """Entries of upstreams that are read without a gap since a time.
+
+    Attributes:
+        on_check: Called when what the store has added is read.
+    """
+
+    def __init__(self, age_s: float = 0.0, continuous_s: float = 0.0) -> None:
+        self._clock = asyncio.get_running_loop().time
+        self.current_at = self._clock() - age_s
+        self.continuous_since = self._clock() - continuous_s
+        self.is_down = False
+        self.n_checks = 0
+        self.on_check: Callable[[], None] = lambda: None
+
+    async def check(self) -> None:
+        self.n_checks += 1
+        asked_at = self._clock()
+        await asyncio.sleep(0.005)
+        if self.is_down:
+            raise StoreUnavailable("log-read: silent")
+        self.on_check()
+        self.current_at = asked_at
+
+
 STARTED_MS = 1_000_000
 
 
-def _journal(registry: _Registry, log: _Log, n_routers: int = 1) -> StreamJournal:
+def _journal(
+    registry: _Registry,
+    log: _Log,
+    n_routers: int = 1,
+    entries: _Entries | None = None,
+) -> StreamJournal:
     clock = asyncio.get_running_loop().time
     return StreamJournal(
         StreamOrigins(clock),
         registry,
+        entries or _Entries(),
         log,
         lambda: n_routers,
         STARTED_MS,
@@ -349,6 +384,71 @@
     asyncio.run(main())
 
 
+# Guards against proofs from records that a router had before it was cut off.
+def test_a_router_without_current_entries_proves_no_sole_version():
+    async def main() -> None:
+        entries = _Entries(age_s=2.0, continuous_s=2 * MEMORY_S)
+        journal = _journal(_Registry("v1"), _Log(), entries=entries)
+        entries.is_down = True
+        refusal = await _refusal(journal, "first")
+        assert 0 < refusal.retry_after_s < math.inf
+        # The caller may come back once the store answers.
+        entries.is_down = False
+        await asyncio.sleep(READ_RETRY_S)
+        request = await journal.pin(_request("again", resumes="first"))
+        assert request.version == "v1"
+
+    asyncio.run(main())
+
+
+def test_entries_that_are_checked_for_a_take_up_show_a_second_version():
+    async def main() -> None:
+        registry = _Registry("v1")
+        entries = _Entries(age_s=0.5, continuous_s=2 * MEMORY_S)
+        entries.on_check = lambda: registry.versions.add("v2")
+        journal = _journal(registry, _Log(), entries=entries)
+        assert (await _refusal(journal, "first")).retry_after_s is None
+
+    asyncio.run(main())
+
+
+def test_a_router_that_missed_entries_goes_on_only_if_one_version_is_proved():
+    # What was listed and removed while a router was cut off is not known to it.
+    async def pin(oldest_s: float, streams: list[BegunStream]) -> object:
+        log = _Log()
+        entries = _Entries(continuous_s=1.0)
+        born_ms = STARTED_MS - round(1000 * oldest_s)
+        registry = _Registry("v1", oldest_born_ms=born_ms)
+        journal = _journal(registry, log, entries=entries)
+        journal._started_at -= 2 * MEMORY_S
+        journal._started_ms -= round(2000 * MEMORY_S)
+        journal._log_read_at = entries.continuous_since - 1.0
+        log.unread = streams
+        try:
+            return (await journal.pin(_request("again", resumes="first"))).version
+        except Refusal as exc:
+            return exc.retry_after_s
+
+    async def main() -> None:
+        assert await pin(MEMORY_S + 2.0, []) == "v1"
+        assert await pin(MEMORY_S + 2.0, [_stream("x", "v2")]) is None
+        assert await pin(MEMORY_S - 2.0, []) is None
+
+    asyncio.run(main())
+
+
+def test_take_ups_that_one_version_serves_share_few_checks_and_no_read_of_the_log():
+    async def main() -> None:
+        log = _Log()
+        entries = _Entries(age_s=1.0, continuous_s=2 * MEMORY_S)
+        journal = _journal(_Registry("v1"), log, entries=entries)
+        pins = (journal.pin(_request(f"a{n}", resumes=f"b{n}")) for n in range(400))
+        assert {req.version for req in await asyncio.gather(*pins)} == {"v1"}
+        assert (entries.n_checks, log.n_reads) == (1, 0)
+
+    asyncio.run(main())
+
+
 def test_a_silent_log_does_not_hold_take_ups():
     async def main() -> float:
         log = _Log()
