Send a request again only on connections that have not carried it

Cause: the next send of an attempt has the same id and took the connection that had just brought the refusal, so that the copy passed for its answer. An answer without an id would have passed for that of any later request there.

Change: a request remembers the connections that carried it, and takes another idle one or a new one; a connection that brought an answer without an id, or a 421, is closed. A copy then arrives where no send of its id, or no send at all, is waiting for an answer.

--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -29,7 +29,7 @@
 from chicorylead.traffic.model import RepeatPolicy
 from chicorylead.traffic.request import ForwardRequest
 from chicorylead.upstream.answer import AnswerHead
-from chicorylead.upstream.connection import Failure, FailureKind
+from chicorylead.upstream.connection import Connection, Failure, FailureKind
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
 
@@ -49,6 +49,7 @@
     fingerprint: str
     share_ratio: float
     excluded: set[UpstreamId] = field(default_factory=set)
+    used: set[Connection] = field(default_factory=set)
     n_sends: int = 0
     n_runs: int = 0
     rejected: Rejected | None = None
@@ -237,6 +238,7 @@
             placement,
             self._admission.response_times(req.service),
             progress.events,
+            progress.used,
             reply,
             first_s,
             event_s,
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -39,6 +39,7 @@
         placement: The upstream and the expected work.
         response_times: Response times of the service, updated from the answer.
         events: Splits the stream, and keeps track of the forwarded events.
+        used: Connections that carried earlier sends of the request; this one is added.
         reply: The answer to the caller.
         first_timeout_s: Timeout for the first part of the answer, seconds.
         event_timeout_s: Timeout between parts, seconds.
@@ -61,6 +62,7 @@
         placement: Placement,
         response_times: ResponseTimes,
         events: EventSplitter,
+        used: set[Connection],
         reply: CallerReply,
         first_timeout_s: float,
         event_timeout_s: float,
@@ -75,6 +77,7 @@
         self._pending_id: PendingId | None = None
         self._response_times = response_times
         self._events = events
+        self._used = used
         self._reply = reply
         self._first_timeout_s = first_timeout_s
         self._event_timeout_s = event_timeout_s
@@ -102,7 +105,7 @@
         self._add_work()
         is_done = False
         try:
-            conn = self._conn = await self._upstream.connect()
+            conn = self._conn = await self._upstream.connect(self._used)
             if self._is_withdrawn:
                 is_done = True
                 # The upstream was reached, so that its health is not in question.
@@ -164,6 +167,7 @@
             req, self._upstream.id, self._remaining_s(), self._events.last_id
         )
         self._sent_at = self._clock()
+        self._used.add(conn)
         conn.send(req.id, data, has_no_body=req.head.method == "HEAD")
         head = await conn.read_head(min(self._first_timeout_s, self._remaining_s()))
         self.head = head
--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -310,7 +310,10 @@
         self._head = head
         self._n_stray = 0
         self._state = _State.BODY
-        self._must_close |= head.closes
+        # A late copy of an answer without an id could not be told from the next answer.
+        self._must_close |= (
+            head.closes or head.is_wrong_upstream or head.request_id is None
+        )
         if head.keep_alive_s is not None:
             self.keep_alive_s = head.keep_alive_s
         if self._has_no_body:
--- a/src/chicorylead/upstream/live.py
+++ b/src/chicorylead/upstream/live.py
@@ -1,7 +1,7 @@
 """State of an upstream at this router: entry, connections, work, health."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from chicorylead.ids import UpstreamId
 from chicorylead.upstream.answer import UpstreamLoad
@@ -116,14 +116,17 @@
 
     # -- connections
 
-    async def connect(self) -> Connection:
+    async def connect(self, used: Collection[Connection] = ()) -> Connection:
         """Return an idle connection, or a new one.
 
+        Args:
+            used: Connections that carried an earlier send of the same attempt. A late
+                copy of its answer there has the id of the next one as well.
+
         Raises:
             Failure: NOT_SENT.
         """
-        while self._idle:
-            conn = self._idle.pop()
+        while (conn := self._pop_idle(used)) is not None:
             if conn.is_reusable and self._clock() < self._usable_until(conn):
                 return conn
             conn.close()
@@ -131,6 +134,14 @@
             self.entry.host, self.entry.port, CONNECT_TIMEOUT_S, self.decode
         )
 
+    def _pop_idle(self, used: Collection[Connection]) -> Connection | None:
+        """Take the connection that was idle for the shortest time."""
+        for conn in reversed(self._idle):
+            if conn not in used:
+                self._idle.remove(conn)
+                return conn
+        return None
+
     def release(self, conn: Connection) -> None:
         """Return a connection to the idle ones after an exchange."""
         conn.finish()
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -66,7 +66,7 @@
 
     behaviour: _UpstreamBehaviour
 
-    def __init__(self, req, placement, response_times, events, reply, *_) -> None:
+    def __init__(self, req, placement, response_times, events, used, reply, *_) -> None:
         self._upstream = placement.upstream
         self._events, self._reply = events, reply
         self.first_event_s, self.longest_pause_s, self.head = None, 0.0, None
--- a/tests/gateway/test_fuzz.py
+++ b/tests/gateway/test_fuzz.py
@@ -105,7 +105,7 @@
 def test_responses_of_upstreams(pieces):
     async def main() -> None:
         conn = Connection(decode_answer)
-        conn.connection_made(_FakeTransport())
+        conn.connection_made(FakeTransport())
         conn.send("r", b"GET / HTTP/1.1\r\n\r\n")
         for piece in (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", *pieces):
             conn.data_received(piece)
@@ -161,7 +161,9 @@
     asyncio.run(main())
 
 
-class _FakeTransport:
+class FakeTransport:
+    """Discards what is written."""
+
     def write(self, data: bytes) -> None:
         """Discard the request."""
 
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from enum import Enum
 from random import Random
+from weakref import WeakKeyDictionary
 
 from tests.gateway.fakes import ReceivedRequest, encode_request, sealed_response
 from tests.soak.ledger import Ledger, expected_body, expected_events
@@ -15,7 +16,10 @@
     "Chicorylead-Response-Seal: 1.2.3\r\nContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n\r\n"
 )
-NOT_RUN = "HTTP/1.1 503 Busy\r\nChicorylead-Not-Executed: 1\r\nContent-Length: 0\r\n"
+NOT_RUN = (
+    "HTTP/1.1 503 Busy\r\nChicorylead-Attempt-Id: {id}\r\n"
+    "Chicorylead-Not-Executed: 1\r\nContent-Length: 0\r\n"
+)
 WRONG_INSTANCE = b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
 EVENT_INTERVAL_S = 0.02
 FOREIGN_BYTES = 4096
@@ -73,6 +77,7 @@
         self.pause_s = 0.0
         self._ledger = ledger
         self._rng = rng
+        self._late: WeakKeyDictionary[asyncio.StreamWriter, bytes] = WeakKeyDictionary()
 
     async def __call__(
         self, received: ReceivedRequest, writer: asyncio.StreamWriter
@@ -89,10 +94,16 @@
             self._on_crash(self.id)
             return
         draw = self._rng.random()
+        if (late := self._late.pop(writer, None)) is not None:
+            writer.write(late)
         if draw < self.fault_ratio / 4 or self.pause_s:
-            head = f"{NOT_RUN}\r\n".encode()
+            not_run = NOT_RUN.format(id=request_id)
+            head = f"{not_run}\r\n".encode()
             if self.pause_s:
-                head = f"{NOT_RUN}Retry-After: {self.pause_s}\r\n\r\n".encode()
+                head = f"{not_run}Retry-After: {self.pause_s}\r\n\r\n".encode()
+            elif draw < self.fault_ratio / 8:
+                # Once more where the next answer on this connection is expected.
+                self._late[writer] = head
             writer.write(self._with_notices(head))
             return
         self._ledger.record_run(request_id)
