Decode what others write without any error but ValueError

What callers saw: after one odd entry in the store (JSON nested 1,200 deep) no router read entries any more.

Cause: msgspec raises RecursionError for deep input, and the decoders caught its own errors only; the task that reads entries ended. Numbers that no datagram can carry, of an entry or of a prompt of 10^23 tokens, ended the task that sends datagrams in the same way.

Change: chicorylead.decoding reads entries, configurations, settings, peers' pages and datagrams, the stream log and the store's answers, with ValueError as the only error and bounded numbers; numbers in heads of callers and upstreams are bounded too. The soak writes odd entries. It works because every caller of a decoder handles ValueError.

--- a/src/chicorylead/gateway/peer_records.py
+++ b/src/chicorylead/gateway/peer_records.py
@@ -9,6 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from chicorylead.decoding import decode_msgpack
 from chicorylead.gateway.follower import StreamFollower
 from chicorylead.http_client import HttpClient, HttpResponse
 from chicorylead.ids import ZoneName
@@ -154,4 +155,4 @@
     """
     if response.status != 200:
         raise ValueError(f"status {response.status}")
-    return msgspec.msgpack.decode(response.body, type=PeerPage)
+    return decode_msgpack(msgspec.msgpack.Decoder(PeerPage), response.body)
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from chicorylead.decoding import decode_msgpack
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.prompt_report import PromptReport
@@ -541,8 +542,8 @@
 
     def _handle_datagram(self, data: bytes, origin: str) -> None:
         try:
-            message = self._decoder.decode(data)
-        except msgspec.DecodeError as exc:
+            message = decode_msgpack(self._decoder, data)
+        except ValueError as exc:
             self._metrics.count("beacon.malformed")
             self._log.warning("beacon_malformed", sender=origin, reason=exc)
             return
--- a/src/chicorylead/platform/caller.py
+++ b/src/chicorylead/platform/caller.py
@@ -90,6 +90,8 @@
 
 
 _DEFAULT_STATUS = 502
+# More than any engine's memory; sums over many prompts still fit into a datagram.
+MAX_TOKENS = 1_000_000_000
 
 
 def decode_head(method: str, target: bytes, headers: Iterable[tuple]) -> CallerHead:
@@ -166,20 +168,32 @@
         n_tokens, _, max_output = headers[_TOKEN_COUNTS].partition(b",")
         estimate = headers.get(_OUTPUT_ESTIMATE)
         return Prompt(
-            n_tokens=int(n_tokens),
-            max_output_tokens=int(max_output),
-            expected_output_tokens=None if estimate is None else int(float(estimate)),
+            n_tokens=_n_tokens(n_tokens),
+            max_output_tokens=_n_tokens(max_output),
+            expected_output_tokens=None if estimate is None else _n_tokens(estimate),
             parts=_parts(headers.get(_PROMPT_PARTS, b"")),
         )
     except (KeyError, ValueError):
         return None
 
 
+def _n_tokens(value: bytes) -> int:
+    """Decode a number of tokens.
+
+    Raises:
+        ValueError: It is not a number that a prompt or an answer can have.
+    """
+    number = float(value)
+    if not 0 <= number <= MAX_TOKENS:
+        raise ValueError(f"{value[:40]!r} tokens")
+    return int(number)
+
+
 def _parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in filter(None, (part.strip() for part in value.split(b","))):
         digits, _, n_tokens = item.rpartition(b":")
-        parts.append(PromptPart(_part_id(digits.decode("ascii")), int(n_tokens)))
+        parts.append(PromptPart(_part_id(digits.decode("ascii")), _n_tokens(n_tokens)))
     return tuple(parts)
 
 
--- a/src/chicorylead/platform/configuration.py
+++ b/src/chicorylead/platform/configuration.py
@@ -2,9 +2,9 @@
 
 from typing import Annotated
 
-import msgspec
 from msgspec import Meta, Struct
 
+from chicorylead.decoding import Count, PositiveCount, decode_json
 from chicorylead.ids import OrganisationId, ServiceName
 from chicorylead.traffic.model import (
     CallerLimits,
@@ -19,6 +19,7 @@
 
 __all__ = ["decode_configuration", "revision_of_configuration"]
 
+Number = Annotated[int, Meta(ge=-(2**53), le=2**53)]
 Positive = Annotated[float, Meta(gt=0)]
 
 
@@ -42,11 +43,11 @@
     # Objective: time to the response, or to the first event of a stream.
     goal_ms: Positive = 1000.0
     # 0 is the highest priority.
-    priority: int = 0
+    priority: Number = 0
     service: str | None = None
     split: list[_Split] = []
     # Upstreams that one request may be sent to, including the first.
-    max_attempts: Annotated[int, Meta(ge=1)] = 1
+    max_attempts: PositiveCount = 1
     public: bool = False
     # Requests carry a prompt; despite the name, none has to stay on one upstream.
     sticky: bool = False
@@ -54,24 +55,24 @@
 
 
 class _Engine(_Camel, frozen=True):
-    slots: int
+    slots: Count
     # KV cache of one engine, tokens.
-    kv_capacity: int
+    kv_capacity: Count
     # Tokens per stream event.
-    stride: int = 1
+    stride: Count = 1
 
 
 class _Service(_Camel, frozen=True):
     name: str
     health_path: str = "/healthz"
     # Total over all callers.
-    max_conns: int = 100
+    max_conns: Count = 100
     engine: _Engine | None = None
 
 
 class _Limits(_Camel, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15_000.0
     # Throughput of all engines; an input token counts once, an output token twice.
@@ -81,11 +82,11 @@
 class _Organisation(_Camel, frozen=True):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Number | None = None
 
 
 class _Config(_Camel, frozen=True):
-    version: int
+    version: Count
     route_table: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -93,14 +94,14 @@
 
 
 class _Version(_Camel, frozen=True):
-    version: int
+    version: Count
 
 
 def revision_of_configuration(record: StreamRecord) -> tuple[int, ...] | None:
     """Return the version of a configuration; None if it is malformed."""
     try:
-        return (msgspec.json.decode(record.value or b"", type=_Version).version,)
-    except msgspec.DecodeError:
+        return (decode_json(record.value or b"", _Version).version,)
+    except ValueError:
         return None
 
 
@@ -110,7 +111,7 @@
     Raises:
         ValueError: The configuration is malformed.
     """
-    config = msgspec.json.decode(data, type=_Config)
+    config = decode_json(data, _Config)
     limits = config.limits
     organisations = None
     if config.tenants is not None:
--- a/src/chicorylead/platform/registry.py
+++ b/src/chicorylead/platform/registry.py
@@ -1,10 +1,10 @@
 """Decodes the entries by which upstreams register in the platform's store."""
 
-from typing import Annotated, Literal
+from typing import Literal
 
-import msgspec
-from msgspec import Meta, Struct
+from msgspec import Struct
 
+from chicorylead.decoding import Count, PositiveCount, decode_json
 from chicorylead.ids import ServiceName, SoftwareVersion, UpstreamId, ZoneName
 from chicorylead.traffic.stream import StreamRecord
 from chicorylead.upstream.registered import ListedState, RegisteredUpstream
@@ -19,23 +19,23 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: PositiveCount
     state: Literal["ready", "draining"]
-    seq: int
+    seq: Count
     # Wall-clock time at which this incarnation started, milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 class _Revision(Struct, frozen=True):
-    seq: int
-    born: int = 0
+    seq: Count
+    born: Count = 0
 
 
 def revision_of_upstream(record: StreamRecord) -> tuple[int, ...] | None:
     """Return start and sequence of an entry; None if it is malformed."""
     try:
-        revision = msgspec.json.decode(record.value or b"", type=_Revision)
-    except msgspec.DecodeError:
+        revision = decode_json(record.value or b"", _Revision)
+    except ValueError:
         return None
     return revision.born, revision.seq
 
@@ -50,7 +50,7 @@
     Raises:
         ValueError: The entry does not describe a usable upstream.
     """
-    entry = msgspec.json.decode(data, type=_Entry)
+    entry = decode_json(data, _Entry)
     host, colon, port = entry.address.rpartition(":")
     if not colon or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"address {entry.address!r} is not an IP address and a port")
--- a/src/chicorylead/platform/settings_file.py
+++ b/src/chicorylead/platform/settings_file.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from chicorylead.decoding import decode_json
 from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.gateway.settings import Bounds, GatewaySettings
 from chicorylead.ids import RouterId, ZoneName
@@ -85,7 +86,7 @@
         return decode_settings(path.read_bytes())
     except OSError as exc:
         raise Refusal(ErrorKind.BAD_REQUEST, f"settings {path}: {exc}") from exc
-    except (msgspec.DecodeError, ValueError) as exc:
+    except ValueError as exc:
         raise Refusal(ErrorKind.BAD_REQUEST, f"settings {path}: {exc}") from exc
 
 
@@ -95,7 +96,7 @@
     Raises:
         ValueError: A field is missing or invalid.
     """
-    file = msgspec.json.decode(data, type=_File)
+    file = decode_json(data, _File)
     first_port, last_port = file.port_range
     if first_port > last_port:
         raise ValueError(f"portRange {first_port} to {last_port} is empty")
--- a/src/chicorylead/platform/store.py
+++ b/src/chicorylead/platform/store.py
@@ -3,9 +3,9 @@
 import base64
 import struct
 
-import msgspec
 from msgspec import Struct
 
+from chicorylead.decoding import Count, decode_json
 from chicorylead.http_client import HttpClient, HttpResponse
 from chicorylead.traffic.stream import (
     PlainPage,
@@ -23,6 +23,7 @@
 
 RESPONSE_MARGIN_S = 2.0  # added to the requested wait; a slow store takes 0.5 s
 
+MAX_ERA_DIGITS = 15
 _GONE = 410
 # In all answers; rises by one when the store comes back from a copy.
 _ERA = b"store-era"
@@ -34,18 +35,18 @@
     key: str
     # Base64; absent or empty if the key was deleted.
     value: str | None = None
-    offset: int = 0
+    offset: Count = 0
 
 
 class _NewestPage(Struct, rename="camel", frozen=True):
     items: list[_Item]
-    end_offset: int
+    end_offset: Count
     # If so, the next page starts after the last key of this one.
     has_more: bool = False
 
 
 class _Trimmed(Struct, rename="camel", frozen=True):
-    first_offset: int | None = None
+    first_offset: Count | None = None
 
 
 class StoreClient:
@@ -169,15 +170,15 @@
         StoreUnavailable: The era is not a number.
     """
     value = dict(response.headers).get(_ERA, b"0")
-    if not value.isdigit():
-        raise StoreUnavailable(f"store era {value!r} is not a number")
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        raise StoreUnavailable(f"store era {value[:40]!r} is not a number")
     return int(value)
 
 
 def _decode_newest(body: bytes) -> _NewestPage:
     try:
-        return msgspec.json.decode(body, type=_NewestPage)
-    except msgspec.DecodeError as exc:
+        return decode_json(body, _NewestPage)
+    except ValueError as exc:
         raise StoreUnavailable(f"log-newest: {exc}") from exc
 
 
@@ -223,8 +224,8 @@
 def _first_offset(body: bytes) -> int | None:
     """Return the first retained offset that an answer tells, if it does."""
     try:
-        return msgspec.json.decode(body, type=_Trimmed).first_offset
-    except msgspec.DecodeError:
+        return decode_json(body, _Trimmed).first_offset
+    except ValueError:
         return None
 
 
--- a/src/chicorylead/platform/stream_log.py
+++ b/src/chicorylead/platform/stream_log.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chicorylead.decoding import decode_msgpack
 from chicorylead.logs import EventLog
 from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.platform.store import StoreClient
@@ -78,7 +79,7 @@
 
     def _decode(self, data: bytes) -> list[BegunStream]:
         try:
-            return self._decoder.decode(data)
-        except msgspec.DecodeError as exc:
+            return decode_msgpack(self._decoder, data)
+        except ValueError as exc:
             self._log.warning("stream_log_malformed", n_bytes=len(data), reason=exc)
             return []
--- a/src/chicorylead/platform/upstream_wire.py
+++ b/src/chicorylead/platform/upstream_wire.py
@@ -113,11 +113,8 @@
     """Decode running, waiting, slots and, if present, percent of the usual time."""
     if value is None:
         return None
-    try:
-        figures = [float(item) for item in value.split(b",")]
-    except ValueError:
-        return None
-    if len(figures) < 3:
+    figures = [_number(item) for item in value.split(b",")]
+    if len(figures) < 3 or None in figures:
         return None
     slowness = figures[3] / 100 if len(figures) > 3 and figures[3] > 0 else 1.0
     return UpstreamLoad(int(figures[0]), int(figures[1]), int(figures[2]), slowness)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -135,7 +135,10 @@
         await self._server.stop(0.1)
 
     def put(self, topic: str, key: str, value: object) -> None:
-        data = b"" if value is None else msgspec.json.encode(value)
+        """Append a record: bytes as they are, None to remove its key."""
+        if value is None:
+            value = b""
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
         self.logs.setdefault(topic, []).append((key, data))
         self._wake()
 
--- a/tests/gateway/test_fuzz.py
+++ b/tests/gateway/test_fuzz.py
@@ -2,25 +2,38 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
-from hypothesis import given, settings
+import pytest
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from chicorylead.errors import Refusal
+from chicorylead.http_client import HttpResponse
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.peer.protocol import PeerProtocol
 from chicorylead.platform.caller import decode_head
-from chicorylead.platform.configuration import decode_configuration
-from chicorylead.platform.registry import decode_upstream
+from chicorylead.platform.configuration import (
+    decode_configuration,
+    revision_of_configuration,
+)
+from chicorylead.platform.registry import decode_upstream, revision_of_upstream
 from chicorylead.platform.settings_file import decode_settings
-from chicorylead.platform.store import StoreClient
+from chicorylead.platform.store import StoreClient, _era
+from chicorylead.platform.stream_log import StreamLog
 from chicorylead.platform.upstream_wire import decode_answer
-from chicorylead.traffic.stream import StoreUnavailable, Stream
+from chicorylead.traffic.stream import StoreUnavailable, Stream, StreamRecord
 from chicorylead.upstream.connection import Connection, Failure
 from chicorylead.upstream.events import EventSplitter, StreamGap
-from tests.gateway.fakes import FakeRouter, configuration, presence_of
+from tests.gateway.fakes import (
+    FakeRouter,
+    FakeUpstream,
+    configuration,
+    presence_of,
+    registry_entry,
+)
 
 HEADER_NAMES = (
     b"host",
@@ -50,6 +63,93 @@
 )
 
 
+# Nested deeper than a decoder follows, as JSON and as MessagePack.
+DEEP_JSON = b'{"note":' + b"[" * 1200 + b"]" * 1200 + b"}"
+DEEP_MSGPACK = b"\x91" * 5000 + b"\x01"
+HUGE = b"9" * 400
+
+
+@pytest.mark.parametrize("value", [b"inf", b"nan", b"-1", b"1e300", HUGE, b"\xb2"])
+@pytest.mark.parametrize(
+    "name", [b"chicorylead-token-counts", b"chicorylead-length-hint", b"last-event-id"]
+)
+def test_numbers_of_callers_that_no_datagram_can_carry(name, value):
+    lines = {
+        b"chicorylead-attempt-id": b"r",
+        b"chicorylead-token-counts": b"10,20",
+        b"chicorylead-prefix-hash": b"aa:10",
+        name: value + b",1" if name == b"chicorylead-token-counts" else value,
+    }
+    head = decode_head("GET", b"/", list(lines.items()))
+    if name == b"last-event-id":
+        splitter = EventSplitter(head.last_event_id)
+        splitter.feed(b"id: 1\ndata: x\n\n")
+    else:
+        assert head.prompt is None
+
+
+@pytest.mark.parametrize("load", [b"inf,0,8", b"1,0,inf", b"1,0,8,inf", b"1,0,8,1e999"])
+def test_loads_of_upstreams_that_are_not_finite(load):
+    head = decode_answer(200, [(b"chicorylead-instance-load", load)])
+    assert head.load is None
+
+
+# Guards against an unforeseen exception, which ended the reading of all later records.
+@pytest.mark.parametrize("data", [DEEP_JSON, b'{"seq":' + HUGE + b"}"])
+@pytest.mark.parametrize(
+    "decode",
+    [
+        lambda data: decode_upstream("u", data),
+        decode_configuration,
+        decode_settings,
+    ],
+)
+def test_deep_or_huge_json_is_a_value_error(decode, data):
+    with pytest.raises(ValueError):
+        decode(data)
+
+
+@pytest.mark.parametrize("data", [DEEP_JSON, b'{"version":' + HUGE + b',"seq":1e9}'])
+def test_a_record_that_cannot_be_read_has_no_revision(data):
+    record = StreamRecord("x", data, 0)
+    assert revision_of_upstream(record) is None
+    assert revision_of_configuration(record) is None
+
+
+@pytest.mark.parametrize("name", ["seq", "born", "slots"])
+@pytest.mark.parametrize("value", [2**63, 2**70, -1])
+def test_an_entry_with_a_number_that_no_datagram_can_carry_names_no_upstream(
+    name, value
+):
+    entry = {**registry_entry(FakeUpstream(None)), name: value}
+    entry["address"] = "127.0.0.1:80"
+    with pytest.raises(ValueError):
+        decode_upstream("u", msgspec.json.encode(entry).replace(b"null", b"0"))
+
+
+@pytest.mark.parametrize("name", ["slots", "kvCapacity", "stride"])
+def test_a_configuration_with_a_number_beyond_all_bounds_is_malformed(name):
+    cfg = configuration()
+    cfg["services"][0]["engine"] = {"slots": 1, "kvCapacity": 1, name: 0}
+    data = msgspec.json.encode(cfg).replace(
+        f'"{name}":0'.encode(), b'"%s":%s' % (name.encode(), HUGE)
+    )
+    with pytest.raises(ValueError):
+        decode_configuration(data)
+
+
+def test_deep_records_of_the_stream_log_are_skipped():
+    stream_log = StreamLog(SimpleNamespace(), EventLog())
+    assert stream_log._decode(DEEP_MSGPACK) == []
+
+
+@pytest.mark.parametrize("era", [b"x", HUGE, b"9" * 5000])
+def test_an_era_that_is_no_number_is_an_unusable_answer(era):
+    response = HttpResponse(200, b"", ((b"store-era", era),))
+    with pytest.raises(StoreUnavailable):
+        _era(response)
+
+
 @given(headers, st.binary(max_size=60))
 def test_request_heads_of_callers(lines, target):
     try:
@@ -121,6 +221,7 @@
 
 @given(st.binary(max_size=200) | json_values.map(msgspec.msgpack.encode))
 @settings(max_examples=50)
+@example(DEEP_MSGPACK)
 def test_datagrams(data):
     async def main() -> None:
         router = FakeRouter(presence_of("127.0.0.1"))
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -125,9 +125,9 @@
     async def serves(self, number: int) -> bool:
         return self.gateways[number].n_upstreams > 0
 
-    async def look_up_status(self, number: int) -> int:
+    async def look_up_status(self, number: int, **headers: str) -> int:
         host, port = self.cfgs[number].callers
-        return (await call(port, "/look/a", host_ip=host))[0]
+        return (await call(port, "/look/a", host_ip=host, **headers))[0]
 
 
 def test_records_come_from_the_peer_while_the_store_is_unavailable():
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -25,9 +25,9 @@
 OWN = {
     f"chicorylead.{name}"
     for name in (
-        *("admission", "application", "cli", "errors", "gateway", "http_client"),
-        *("http_server", "ids", "log_output", "logs", "metrics", "outcome", "peer"),
-        *("platform", "traffic", "upstream", "vm"),
+        *("admission", "application", "cli", "decoding", "errors", "gateway"),
+        *("http_client", "http_server", "ids", "log_output", "logs", "metrics"),
+        *("outcome", "peer", "platform", "traffic", "upstream", "vm"),
     )
 }
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,6 +27,7 @@
 CRASHED_FOR_S = 1.0
 NOTICE_S = 8.0  # a limit holds from 3 s on, over 4 s
 CHANGE_S = 2.0  # the users' bound
+ODD_DEPTH = 1200  # nested deeper than a decoder follows
 
 
 class _Router:
@@ -285,6 +286,7 @@
             "configuration": self._publish_configuration,
             "copy": lambda: self._restore_copy(for_s),
             "limit": lambda: self._limit_upstream(for_s),
+            "odd_entry": self._write_odd_entry,
         }
         name = self._rng.choice(list(faults))
         self.injected.append(name)
@@ -363,6 +365,16 @@
         for name in {key for key, _ in copy.get("keyed.servers", [])} - {*listed}:
             self.store.put("keyed.servers", name, None)
 
+    async def _write_odd_entry(self) -> None:
+        """Write an entry that no router can read, as another writer may."""
+        entries = (
+            b'{"note":' + b"[" * ODD_DEPTH + b"]" * ODD_DEPTH + b"}",
+            b'{"seq":' + b"9" * ODD_DEPTH + b"}",
+            self._rng.randbytes(ODD_DEPTH),
+        )
+        key = f"odd{self._rng.randrange(5)}"
+        self.store.put("keyed.servers", key, self._rng.choice(entries))
+
     async def _limit_upstream(self, for_s: float) -> None:
         script = self._rng.choice(list(self._scripts.values()))
         script.limit_per_s = self._rng.choice((0.5, 2.0, 10.0))
