Start tasks that fail again, and go on after a record that cannot be applied

A router without the task that reads entries, or the one that sends datagrams, counted as ready and went on with what it knew.

Cause: Application.spawn logged the exception of a task and left it at that, and one record that could not be applied held up all later ones.

The process stays ready: all routers meet the same input, so that withdrawing would leave none.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -91,7 +91,10 @@
         self._clock = asyncio.get_running_loop().time
         self.log = EventLog(router=cfg.id)
         self._metrics = Metrics()
-        self.app = Application(self.log)
+        self.app = Application(
+            self.log,
+            lambda name: self._metrics.count("task.failures", task=name),
+        )
         self._configuration: Configuration | None = None
         self._is_draining = False
         self._is_refusing = False
@@ -265,12 +268,12 @@
 
     async def _start_tasks(self) -> None:
         for stream, follower in self._followers.items():
-            self.app.spawn(follower.run(), f"follow_{stream.value}")
-        self.app.spawn(self._peers.run(), "beacons")
-        self.app.spawn(self._peer_records.run(), "peer_records")
-        self.app.spawn(self._journal.run(), "stream_journal")
-        self.app.spawn(self._close_stale_connections(), "idle_connections")
-        self.app.spawn(self._log_shares(), "shares")
+            self.app.spawn(follower.run, f"follow_{stream.value}")
+        self.app.spawn(self._peers.run, "beacons")
+        self.app.spawn(self._peer_records.run, "peer_records")
+        self.app.spawn(self._journal.run, "stream_journal")
+        self.app.spawn(self._close_stale_connections, "idle_connections")
+        self.app.spawn(self._log_shares, "shares")
         self.log.info(
             "gateway_started",
             zone=self._cfg.zone,
--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -366,7 +366,7 @@
                 continue
             self._records[record.key] = record
             n_new += 1
-            self._on_record(record)
+            self._apply(record)
         if n_old:
             self._log.info(
                 "stream_records_old",
@@ -380,6 +380,20 @@
             self._on_news()
         return n_new
 
+    def _apply(self, record: StreamRecord) -> None:
+        """Apply a record; one that fails does not hold up those after it."""
+        try:
+            self._on_record(record)
+        except Exception as exc:
+            self._metrics.count("store.record_errors", stream=self.stream.value)
+            self._log.error(
+                "record_failed",
+                stream=self.stream,
+                key=record.key,
+                position=record.position,
+                error=repr(exc),
+            )
+
     def _is_newer(self, record: StreamRecord, known: StreamRecord) -> bool:
         """Return whether a record replaces the known one of its key.
 
--- a/src/chicorylead/router/app.py
+++ b/src/chicorylead/router/app.py
@@ -239,13 +239,13 @@
         self.hub.start(self.view)
 
     async def _start_tasks(self) -> None:
-        self.app.spawn(self.reader.run(), "config_reader")
-        self.app.spawn(self._read_vm_list(), "vm_list")
-        self.app.spawn(self._catch_up_from_peers(), "peer_catch_up")
-        self.app.spawn(self._append_checkpoints(), "checkpoints")
-        self.app.spawn(self._load_report_poller.run(), "upstream_watch")
-        self.app.spawn(self._issuer.run(), "orders")
-        self.app.spawn(self._send_gauges(), "gauges")
+        self.app.spawn(self.reader.run, "config_reader")
+        self.app.spawn(self._read_vm_list, "vm_list")
+        self.app.spawn(self._catch_up_from_peers, "peer_catch_up")
+        self.app.spawn(self._append_checkpoints, "checkpoints")
+        self.app.spawn(self._load_report_poller.run, "upstream_watch")
+        self.app.spawn(self._issuer.run, "orders")
+        self.app.spawn(self._send_gauges, "gauges")
         self.log.info(
             "router_started",
             address=self.view.own.address,
