Take only unanswered calls for an outage of the store

Cause: an entry that goes missing around an outage is kept for 1.9 s. That a router began to read the store, that its records were old, or that a peer had just begun, all counted as an outage; each comes when readers are killed, paused or restarted, with the store up.

Evidence: reproduced on the sources before. With both readers killed, or stopped for 2.5 s, and an upstream removed 0.1 to 0.5 s later, 12, 24 and 7 requests came late at routers left alone; their lines say upstream_lapsed store_back_s=0.

Change: an outage is a gap of over 1.2 s without any answer in which a call failed or was not answered for 1 s; peers tell each other how long ago the last one ended, which counts unless one's own records were current.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -104,7 +104,7 @@
             decode_upstream,
             decode_answer,
             self._intakes,
-            self._store_connected_since,
+            self._outage_ended_at,
             self.log,
         )
         self._serving = ServingRouters(cfg, self._live_peers, self._clock, self.log)
@@ -426,11 +426,9 @@
         cfg = self._configuration
         return cfg.shortest_objective_s(service) if cfg is not None else 0.0
 
-    def _store_connected_since(self) -> float:
-        """Return the time since which the store has been answering, seconds."""
-        if self._records_age.is_too_high:
-            return self._clock()
-        return self._followers[Stream.UPSTREAMS].connected_at
+    def _outage_ended_at(self) -> float:
+        """Return when the store was back after its last outage, seconds."""
+        return self._followers[Stream.UPSTREAMS].outage_ended_at
 
     # -- peers
 
--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -11,7 +11,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from random import Random
 
 from chicorylead.logs import EventLog
@@ -37,6 +38,9 @@
 RETRY_MIN_S = 0.1  # several retries within the time in which a change must apply
 RETRY_MAX_S = 0.6  # a recovered store is noticed well within 2 s
 STANDBY_CHECK_S = 0.1  # a twelfth of the age at which this router reads the store
+# A call that does not wait and takes longer is not answered; the store takes some
+# milliseconds, and half a second when it is slow.
+UNANSWERED_S = 1.0
 # An upstream is listed for longer, so that none comes and goes unnoticed within it.
 MAX_GAP_S = 1.2
 CHECK_PAUSE_S = 0.2  # meanwhile the checks of other streams are answered
@@ -76,8 +80,9 @@
         is_complete: Whether the stream was read to its end once.
         is_connected: Whether this router reads the store, and its last call was
             answered.
-        connected_at: Event-loop time since which the store has been answering this
-            router or the peer that supplies the records, seconds.
+        outage_ended_at: Event-loop time at which the store answered again after the
+            last outage that is known, seconds. That this router begins to read, or has
+            not heard for a while that its records are current, is no outage.
         source: Where the last records came from: the store, or the id of a peer.
         answered_at: Event-loop time of the last answer of the store, seconds.
         current_at: Event-loop time at which the store had no further records, as it
@@ -123,11 +128,15 @@
         self.end = START
         self.is_complete = False
         self.is_connected = False
-        self.connected_at = 0.0
+        self.outage_ended_at = float("-inf")
         self.source = STORE_SOURCE
         self.answered_at = float("-inf")
         self.current_at = float("-inf")
         self.continuous_since = float("inf")
+        # Whether a call has failed since the records were last known to be current, and
+        # when one that does not wait was sent and is not answered.
+        self._has_failed = False
+        self._pending_since: float | None = None
         # Of the last call: when it was sent, and for which moment its answer holds.
         self._asked_at = float("-inf")
         self._stated_at = float("-inf")
@@ -146,8 +155,8 @@
             for record in self._records.values()
             if is_snapshot or record.position >= start or record.era < start.era
         ]
-        store_up_s = self._clock() - self.connected_at
-        return PeerPage(records, self.end, is_snapshot, store_up_s, self.age_s)
+        outage_age_s = self._clock() - self.outage_ended_at
+        return PeerPage(records, self.end, is_snapshot, outage_age_s, self.age_s)
 
     @property
     def age_s(self) -> float:
@@ -156,10 +165,41 @@
 
     def confirm(self, at: float) -> None:
         """Learn that the records were current at an event-loop time."""
+        self._end_gap(at)
         if at - self.current_at > MAX_GAP_S:
             self.continuous_since = at
         self.current_at = max(self.current_at, at)
 
+    def _end_gap(self, at: float) -> None:
+        """Learn that the store answered somebody at an event-loop time.
+
+        An outage is proved by calls that the store did not answer, in a time in which
+        it answered nobody else. Entries lapse only in one of several heartbeats.
+        """
+        now = self._clock()
+        if at <= now - MAX_GAP_S:
+            return  # said of a time before
+        gap_s = at - max(self.current_at, self.answered_at)
+        is_pending = (
+            self._pending_since is not None and now - self._pending_since > UNANSWERED_S
+        )
+        if gap_s > MAX_GAP_S and (self._has_failed or is_pending):
+            self.outage_ended_at = now
+            self._log.info("store_outage", stream=self.stream, gap_s=gap_s)
+        self._has_failed = False
+
+    def _learn_outage(self, ended_at: float) -> None:
+        """Learn of an outage from a peer, unless the store was answering meanwhile.
+
+        The peer may have been cut off from it alone.
+        """
+        is_known_up = (
+            self.continuous_since <= ended_at - MAX_GAP_S
+            and self.current_at >= ended_at
+        )
+        if not is_known_up:
+            self.outage_ended_at = max(self.outage_ended_at, ended_at)
+
     async def check(self) -> None:
         """Read what the store has added, beside a read that waits.
 
@@ -178,6 +218,7 @@
                 raise StoreUnavailable(str(exc), exc.era) from exc
             if page.era != start.era:
                 raise StoreUnavailable("the answer is of another era", page.era)
+            self._note_answer()
             self.apply_page(page)
             has_more = page.has_more
         self.confirm(asked_at)
@@ -286,7 +327,7 @@
             if page.records or page.era != start.era:
                 self._metrics.count("store.missed", stream=self.stream.value)
                 return page
-            self.answered_at = self._clock()
+            self._note_answer()
             self.confirm(self._stated_at)
             self._on_news()
             if self.end > start:
@@ -299,7 +340,19 @@
 
     async def _ask(self, offset: int, wait_s: float) -> StreamPage:
         self._asked_at = self._clock()
-        return await self._store.read(self.stream, offset, wait_s)
+        if wait_s:
+            return await self._store.read(self.stream, offset, wait_s)
+        with self._pending():
+            return await self._store.read(self.stream, offset, 0.0)
+
+    @contextlib.contextmanager
+    def _pending(self) -> Iterator[None]:
+        """Note that a call which does not wait is under way."""
+        self._pending_since = self._clock()
+        try:
+            yield
+        finally:
+            self._pending_since = None
 
     async def _read_snapshot(self) -> None:
         """Read the newest records of all keys.
@@ -308,7 +361,8 @@
             StoreUnavailable: There is no usable answer.
         """
         self._asked_at = self._clock()
-        page = await self._store.newest(self.stream)
+        with self._pending():
+            page = await self._store.newest(self.stream)
         if page.era < self.end.era:
             detail = f"the answer is of era {page.era}, after {self.end.era}"
             raise StoreUnavailable(detail, page.era)
@@ -321,9 +375,9 @@
             end=self.end,
         )
         self._mark_connected()
-        if page.era > self.end.era:
+        if self.end != START and page.era > self.end.era:
             # Upstreams whose entries were lost write them again, as after an outage.
-            self.connected_at = self._clock()
+            self.outage_ended_at = self._clock()
         self.source = STORE_SOURCE
         self.confirm(self._asked_at)
         self._apply_snapshot(page)
@@ -414,12 +468,14 @@
         """Apply the records of a peer."""
         is_later_era = page.end.era > self.end.era
         is_earlier_era = page.end.era < self.end.era
-        store_back_at = self._clock() - page.store_up_s
-        if not self.is_connected or is_later_era:
-            self.connected_at = store_back_at
+        ended_at = self._clock() - page.outage_age_s
+        if is_later_era and self.end != START:
+            # A peer that has started since does not know when the era began.
+            self.outage_ended_at = max(ended_at, self.outage_ended_at)
+            if ended_at == float("-inf"):
+                self.outage_ended_at = self._clock()
         else:
-            # A read that still waits has not noticed the outage that the peer has.
-            self.connected_at = max(self.connected_at, store_back_at)
+            self._learn_outage(ended_at)
         if is_later_era:
             self._on_era(page.end.era)
         self.source = peer
@@ -455,15 +511,20 @@
             self.is_connected = False
             self._log.info("store_standby", stream=self.stream, end=self.end)
 
+    def _note_answer(self) -> None:
+        now = self._clock()
+        self._end_gap(now)
+        self.answered_at = now
+
     def _mark_connected(self) -> None:
-        self.answered_at = self._clock()
+        self._note_answer()
         if not self.is_connected:
             self.is_connected = True
-            self.connected_at = self._clock()
             self._log.info("store_regained", stream=self.stream, end=self.end)
 
     def _mark_disconnected(self, reason: str) -> None:
         self._metrics.count("store.errors")
+        self._has_failed = True
         if self.is_connected:
             self.is_connected = False
             now = self._clock()
--- a/src/chicorylead/traffic/stream.py
+++ b/src/chicorylead/traffic/stream.py
@@ -117,7 +117,8 @@
     Attributes:
         end: Position up to which they are complete.
         is_snapshot: Whether keys that are missing were removed.
-        store_up_s: Time for which the store has been answering, seconds.
+        outage_age_s: Time since the end of the last outage of the store that the router
+            knows of, seconds; infinite if it knows of none.
         age_s: Time since the records were known to be current, seconds; infinite if a
             peer of an earlier release does not tell.
     """
@@ -125,7 +126,7 @@
     records: list[StreamRecord]
     end: Position
     is_snapshot: bool
-    store_up_s: float
+    outage_age_s: float
     age_s: float = inf
 
 
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -29,8 +29,8 @@
         decode_entry: Decodes a registry entry.
         decode_answer: Decodes the head of an upstream's answer.
         intakes: What each incarnation states about the work that it takes.
-        store_back_since: Returns the event-loop time since which the store has been
-            answering without interruption, seconds.
+        outage_ended_at: Returns the event-loop time at which the store was back after
+            its last outage, seconds.
     """
 
     def __init__(
@@ -38,13 +38,13 @@
         decode_entry: DecodeEntry,
         decode_answer: DecodeHead,
         intakes: Intakes,
-        store_back_since: Callable[[], float],
+        outage_ended_at: Callable[[], float],
         log: EventLog,
     ) -> None:
         self._decode_entry = decode_entry
         self._decode_answer = decode_answer
         self._intakes = intakes
-        self._store_back_since = store_back_since
+        self._outage_ended_at = outage_ended_at
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._live: dict[UpstreamId, LiveUpstream] = {}
@@ -216,17 +216,17 @@
         """Remove an upstream, later if its entry may only have lapsed in an outage."""
         if upstream not in self._live or upstream in self._lapsed:
             return
-        store_up_s = self._loop.time() - self._store_back_since()
-        if store_up_s >= LAPSE_GRACE_S:
+        store_back_s = self._loop.time() - self._outage_ended_at()
+        if store_back_s >= LAPSE_GRACE_S:
             self._remove(upstream, "not listed")
             return
         self._lapsed[upstream] = self._loop.call_later(
-            LAPSE_GRACE_S - store_up_s,
+            LAPSE_GRACE_S - store_back_s,
             self._remove,
             upstream,
             "not listed after an outage",
         )
-        self._log.info("upstream_lapsed", upstream=upstream, store_back_s=store_up_s)
+        self._log.info("upstream_lapsed", upstream=upstream, store_back_s=store_back_s)
 
     def _cancel_lapse(self, upstream: UpstreamId) -> None:
         timer = self._lapsed.pop(upstream, None)
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -38,10 +38,10 @@
     return msgspec.json.encode(entry)
 
 
-def _registry(store_back_since: float = -100.0) -> Registry:
+def _registry(outage_ended_at: float = float("-inf")) -> Registry:
     intakes = Intakes(asyncio.get_running_loop().time)
     return Registry(
-        decode_upstream, decode_answer, intakes, lambda: store_back_since, EventLog()
+        decode_upstream, decode_answer, intakes, lambda: outage_ended_at, EventLog()
     )
 
 
@@ -110,7 +110,7 @@
 def test_entries_that_lapsed_in_an_outage_are_kept_until_they_return_or_expire():
     async def main() -> None:
         now = asyncio.get_running_loop().time()
-        registry = _registry(store_back_since=now)
+        registry = _registry(outage_ended_at=now)
         registry.apply_record(StreamRecord("u1", _value(), 0))
         registry.apply_record(StreamRecord("u2", _value(), 1))
         registry.apply_snapshot([])
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -188,6 +188,7 @@
         self._rng = rng
         self._number = 0
         self._conn: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._address = ("", 0)
         self.last_success_at = 0.0
 
     async def run(self) -> None:
@@ -223,7 +224,7 @@
         )
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000):
-                return await self._exchange(data)
+                return await self._exchange(request_id, data)
         except (OSError, EOFError, TimeoutError):
             self._close()
             return 0, b"", False
@@ -270,11 +271,12 @@
             self._conn[1].transport.abort()
             self._conn = None
 
-    async def _exchange(self, data: bytes) -> tuple[int, bytes, bool]:
+    async def _exchange(self, request_id: str, data: bytes) -> tuple[int, bytes, bool]:
         if self._conn is None:
-            host, port = self._rng.choice(self._addresses)
-            self._conn = await asyncio.open_connection(host, port)
+            self._address = self._rng.choice(self._addresses)
+            self._conn = await asyncio.open_connection(*self._address)
         reader, writer = self._conn
+        self._ledger.record_router(request_id, self._address)
         writer.write(data)
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
         status = int(head.split(" ")[1])
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,6 +27,7 @@
 CRASHED_FOR_S = 1.0
 NOTICE_S = 8.0  # a limit holds from 3 s on, over 4 s
 CHANGE_S = 2.0  # the users' bound
+PAUSE_S = 2.5  # longer than the users' bound for upstreams that leave
 ODD_DEPTH = 1200  # nested deeper than a decoder follows
 
 
@@ -243,14 +244,19 @@
         await asyncio.sleep(CRASHED_FOR_S)
         await self._start_upstream(name, self._scripts[name])
 
-    def remove_upstream(self) -> None:
-        """Remove the oldest upstream from the registry; it continues to serve."""
+    def remove_upstream(self) -> str | None:
+        """Remove the oldest upstream from the registry; it continues to serve.
+
+        Returns:
+            Its name; None if all have crashed.
+        """
         listed = [name for name in self._upstreams if name in self._scripts]
         if not listed:
-            return  # all have crashed
+            return None
         name = listed[0]
         self.store.put("keyed.servers", name, None)
         self._upstreams[f"gone-{name}"] = self._upstreams.pop(name)
+        return name
 
     def clear_faults(self) -> None:
         """Remove all faults and resume paused routers."""
@@ -405,6 +411,24 @@
         if pausing.id in stated:
             self.ledger.check_pause(pausing.id, NOTICE_S, len(self.routers))
 
+    async def check_removal(self) -> None:
+        """Check that a router which runs heeds a removal while all others stand still.
+
+        The others may be those that read the store for it.
+        """
+        staying, *stopped = self._rng.sample(self.routers, len(self.routers))
+        for router in stopped:
+            router.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.8))
+        name = self.remove_upstream()
+        removed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(PAUSE_S)
+        for router in stopped:
+            router.signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        if name is not None:
+            self.ledger.check_removed(name, removed_at, staying.caller_address)
+
     async def check_change(self) -> None:
         """Check that a new operation is served in time after a copy was restored."""
         copy = self.store.copy()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -78,6 +78,7 @@
     arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
     noticed_at: dict[str, float] = field(default_factory=dict)
     _sent_at: dict[str, float] = field(default_factory=dict)
+    _sent_to: dict[str, tuple[str, int]] = field(default_factory=dict)
     _reported_not_run: dict[str, int] = field(default_factory=dict)
     _kinds: dict[str, Kind] = field(default_factory=dict)
 
@@ -86,6 +87,10 @@
         self._sent_at[request] = self.clock()
         self._kinds[request] = kind
 
+    def record_router(self, request: str, address: tuple[str, int]) -> None:
+        """Record the router that a request is sent to."""
+        self._sent_to[request] = address
+
     def record_arrival(self, upstream: str, request: str) -> None:
         """Record that a request reaches an upstream."""
         now = self.clock()
@@ -173,6 +178,21 @@
                 f"{upstream}: {late[0]} reached it as it was leaving"
             )
 
+    def check_removed(
+        self, upstream: str, removed_at: float, router: tuple[str, int]
+    ) -> None:
+        """Check that a router sends nothing to an upstream that was removed."""
+        late = [
+            (at - removed_at, request)
+            for at, request in self.arrivals.get(upstream, [])
+            if at > removed_at + DRAIN_S and self._sent_to.get(request) == router
+        ]
+        if late:
+            self.violations.append(
+                f"{upstream}: {late[0][1]} reached it {late[0][0]:.2f} s after its "
+                "removal"
+            )
+
     def check_pause(self, upstream: str, pause_s: float, n_routers: int) -> None:
         """Check that few requests reach an upstream in the pause that it asked for.
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -77,6 +77,8 @@
                 fleet.ledger.violations.append(
                     "a caller gets no answer after the faults"
                 )
+        await fleet.check_removal()
+        await asyncio.sleep(STABLE_S)
         await fleet.check_change()
         await fleet.check_notices()
     finally:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -97,6 +97,20 @@
     assert ledger.violations
 
 
+@pytest.mark.parametrize(
+    ("after_s", "router", "is_violation"),
+    [(2.1, 1, True), (1.9, 1, False), (2.1, 2, False)],
+)
+def test_the_ledger_detects_requests_to_an_upstream_that_was_removed(
+    after_s, router, is_violation
+):
+    ledger = Ledger()
+    ledger.arrivals["u"] = [(10.0 + after_s, "r")]
+    ledger.record_router("r", ("127.0.0.1", router))
+    ledger.check_removed("u", 10.0, ("127.0.0.1", 1))
+    assert bool(ledger.violations) is is_violation
+
+
 @pytest.mark.parametrize(("n_late", "is_violation"), [(0, False), (30, True)])
 def test_the_ledger_detects_requests_that_an_upstream_does_not_take(
     n_late, is_violation
