Go on after the last event that was forwarded, whatever came with it

Cause: EventSplitter moved last_id on with each event that it looked at; at a gap, those before it in the same read were neither forwarded nor given back. A wrong number of the first event was believed, and one that went back was taken for a repeated event.

Change: the events of a run follow each other by one; anything else ends the run after the events before it were forwarded, as for foreign bytes. A first number other than 1 waits for the next event. The next run then goes on where the caller is, which is why this works.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -14,7 +14,7 @@
 from chicorylead.upstream.answer import AnswerHead
 from chicorylead.upstream.backlog import PendingId
 from chicorylead.upstream.connection import Connection, Failure, FailureKind
-from chicorylead.upstream.events import EventSplitter, MalformedStream
+from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
 
 __all__ = ["OnSent", "Sender"]
@@ -215,22 +215,23 @@
             )
             if part is None:
                 break
-            try:
-                events = self._events.feed(part)
-            except MalformedStream as exc:
-                raise Failure(FailureKind.GARBLED, str(exc)) from exc
+            events = self._events.feed(part)
             if events:
                 # Only new events extend the timeout; other bytes do not.
                 due_at = self._clock() + self._event_timeout_s
                 await self._forward_events(events, head)
             if self._events.fault is not None:
                 raise Failure(FailureKind.GARBLED, str(self._events.fault))
+        rest = b"" if self._events.has_partial else self._events.end()
+        if rest and self._events.n_events > 0 and not self._reply.is_started:
+            await self._forward_events(rest, head)
+            rest = b""
         if self._events.has_partial or not self._reply.is_started:
             raise Failure(
                 FailureKind.BROKEN, "stream ended before an event was complete"
             )
         self._record_answering()
-        await self._reply.finish(self._events.end())
+        await self._reply.finish(rest)
         self._upstream.record_answer(None)
         return Served(head.status)
 
--- a/src/chicorylead/upstream/events.py
+++ b/src/chicorylead/upstream/events.py
@@ -13,7 +13,8 @@
 # A comment, or a field; the names of fields are open, so that upstreams may add some.
 _LINE = re.compile(rb":.*|[a-z][a-z0-9-]*(:.*)?", re.DOTALL)
 
-
+# Number with which streams usually begin; another one may be a wrong byte.
+FIRST_ID = 1
 # Bytes without a new event: more than any event of a few tokens, and more than the
 # events that a run resumed on another upstream may repeat.
 MAX_BYTES_WITHOUT_EVENT = 262_144
@@ -30,6 +31,10 @@
 class EventSplitter:
     """Passes on whole events once and in order, over several runs of a request.
 
+    The events of a run are numbered one after the other. A run that resumes a stream
+    may repeat some. The number of the first event of a stream is confirmed by the next
+    event, unless it is `FIRST_ID`.
+
     Attributes:
         last_id: Id of the last event passed on; None before the first.
         n_events: Events passed on.
@@ -41,8 +46,12 @@
         self.n_events = 0
         self.fault: MalformedStream | None = None
         self._partial = b""
-        # Comments and blank lines, which are passed on with the event after them.
+        # Comments and blank lines, which are passed on with the event after them; also
+        # a first event that is not confirmed.
         self._held = b""
+        self._unconfirmed: int | None = None
+        # Number of the last event of this run, also of one that was repeated.
+        self._last_of_run: int | None = None
         self._n_bytes_without_event = 0
 
     @property
@@ -51,11 +60,7 @@
         return bool(self._partial.strip())
 
     def feed(self, data: bytes) -> bytes:
-        """Return the new whole events; `fault` tells whether they are the last ones.
-
-        Raises:
-            StreamGap: An event between the last one and a new one is missing.
-        """
+        """Return the new whole events; `fault` tells whether they are the last ones."""
         if self.fault is not None:
             return b""
         self._n_bytes_without_event += len(data)
@@ -68,7 +73,14 @@
         return events
 
     def end(self) -> bytes:
-        """Return what follows the last event of a complete stream."""
+        """Return what follows the last event of a complete stream.
+
+        The end confirms the number of its only event.
+        """
+        if self._unconfirmed is not None:
+            self.last_id = str(self._unconfirmed)
+            self.n_events += 1
+            self._unconfirmed = None
         return self._held + self._partial
 
     def restart(self) -> None:
@@ -76,35 +88,52 @@
         self.fault = None
         self._partial = b""
         self._held = b""
+        self._unconfirmed = None
+        self._last_of_run = None
         self._n_bytes_without_event = 0
 
     def _pass_on(self, blocks: list[bytes]) -> bytes:
         events = []
         for block in blocks:
             try:
-                event_id = _id_of(block)
+                events.append(self._take(block + _END, _id_of(block)))
             except MalformedStream as exc:
                 self.fault = exc
                 break
-            if event_id is None:
-                self._held += block + _END
-                continue
-            if self._is_new(event_id):
-                events.append(self._held + block + _END)
-            self._held = b""
         return b"".join(events)
 
-    def _is_new(self, event_id: str) -> bool:
+    def _take(self, block: bytes, event_id: str | None) -> bytes:
+        """Return what can be passed on after one more block.
+
+        Raises:
+            StreamGap: The event does not follow the one before it.
+        """
+        if event_id is None:
+            self._held += block
+            return b""
+        number = int(event_id)
+        if self._last_of_run is not None and number != self._last_of_run + 1:
+            raise StreamGap(f"event {number} follows {self._last_of_run}")
+        is_first_of_run = self._last_of_run is None
+        self._last_of_run = number
+        data, self._held = self._held + block, b""
         if _is_number(self.last_id):
-            step = int(event_id) - int(self.last_id)
-            if step <= 0:
-                return False
-            if step > 1:
-                raise StreamGap(f"event {event_id} follows {self.last_id}")
+            if number > int(self.last_id) + 1:
+                raise StreamGap(f"event {number} follows {self.last_id}")
+            if number <= int(self.last_id):
+                return b""
+        elif self.last_id is None and is_first_of_run and number != FIRST_ID:
+            self._held = data
+            self._unconfirmed = number
+            return b""
+        self._record(event_id)
+        return data
+
+    def _record(self, event_id: str) -> None:
+        self.n_events += 1 if self._unconfirmed is None else 2
+        self._unconfirmed = None
         self.last_id = event_id
-        self.n_events += 1
         self._n_bytes_without_event = 0
-        return True
 
 
 def _is_number(event_id: str | None) -> bool:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -7,7 +7,7 @@
 from weakref import WeakKeyDictionary
 
 from tests.gateway.fakes import ReceivedRequest, encode_request, sealed_response
-from tests.soak.ledger import Ledger, expected_body, expected_events
+from tests.soak.ledger import N_EVENTS, Ledger, expected_body, expected_events
 
 __all__ = ["Caller", "SoakUpstream"]
 
@@ -40,6 +40,7 @@
     NONE = 0
     CUT = 1
     FOREIGN = 2
+    WRONG_NUMBER = 3
 
 
 class SoakUpstream:
@@ -150,6 +151,10 @@
         first = int(received.headers.get("last-event-id", "0")) + 1
         stream_id = received.headers.get("resumes", request_id)
         events = expected_events(stream_id, first, self.version)
+        if fault is _StreamFault.WRONG_NUMBER and events:
+            # Together with sound events, as a chunk holds what was written at once.
+            wrong = events[-1].replace(f"id: {N_EVENTS}".encode(), b"id: 99")
+            events = [b"".join([*events[:-1], wrong])]
         for number, event in enumerate(events):
             if number == 3 and fault is _StreamFault.CUT:
                 writer.write(b"%x\r\n" % len(event) + event[:5])
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "MAX_RUNS",
+    "N_EVENTS",
     "VERSIONS",
     "Kind",
     "Ledger",
