Keep a blocked request blocked while it comes, but for single trials

Cause: a suspect expired with time alone, at the same moment everywhere, and nothing made the first copy after that a single one.

The tests of trials have no counterpart before; test_a_request_that_was_blocked_is_tried_and_served_again fails on the sources before.

Change: refused copies renew a block. One copy for the whole fleet is tried 60 s after the block, then ever later, three times at most; its answer clears the request at all routers. It works because the router that tries is chosen by hash, and the others learn of the trial, its crash or its answer from beacons. A sound request that was near two crashes is served again after a minute, as before.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -52,6 +52,7 @@
 from chicorylead.upstream.intakes import Intakes
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.registry import Registry
+from chicorylead.vm.rendezvous import pick
 
 __all__ = ["Gateway"]
 
@@ -194,7 +195,13 @@
             admission,
             self._poison,
             PromptTrials(self._quarantine, self.log, self._metrics, rng),
-            CrashMonitor(self._poison, self._quarantine, self.log, self._metrics),
+            CrashMonitor(
+                self._poison,
+                self._quarantine,
+                self._is_chosen,
+                self.log,
+                self._metrics,
+            ),
             self._notices,
             self._journal,
             cfg.bounds,
@@ -435,6 +442,10 @@
     def _state_peer_ids(self) -> list[RouterId]:
         return [RouterId(peer.presence.id) for peer in self._peers.state_peers()]
 
+    def _is_chosen(self, key: str) -> bool:
+        """Return whether this router is the one of all that serve to do a thing."""
+        return pick(key, [self._cfg.id, *self._state_peer_ids()]) == self._cfg.id
+
     def _live_peers(self) -> list[Peer]:
         return self._peers.live()
 
--- a/src/chicorylead/gateway/crash_monitor.py
+++ b/src/chicorylead/gateway/crash_monitor.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
+from chicorylead.errors import ErrorKind, Refusal
 from chicorylead.gateway.crash_probe import CrashProbe
 from chicorylead.gateway.prompt_trials import format_parts
 from chicorylead.gateway.sender import Sender
@@ -21,6 +23,8 @@
 __all__ = ["CrashMonitor", "fingerprint_of_request"]
 
 SUSPECT_TTL_S = 60.0  # callers retry such a request within seconds
+BLOCKED_TTL_S = 600.0  # after it has come for the last time
+NOT_CHOSEN_RETRY_S = 1.0  # another router tries it meanwhile
 
 
 class CrashMonitor:
@@ -29,22 +33,52 @@
     Args:
         poison: Requests under which upstreams crashed.
         quarantine: Prompt parts under which engines crashed.
+        is_chosen: Returns whether this router is the one that tries a blocked request.
     """
 
     def __init__(
         self,
         poison: PoisonList,
         quarantine: PromptQuarantine,
+        is_chosen: Callable[[str], bool],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         self._poison = poison
         self._quarantine = quarantine
+        self._is_chosen = is_chosen
         self._log = log
         self._metrics = metrics
         self._probe = CrashProbe()
         self._checks: set[asyncio.Task[None]] = set()
 
+    def check_blocked(self, fingerprint: str) -> None:
+        """Refuse a request that has crashed several upstreams, but for its trials.
+
+        Raises:
+            Refusal: It is blocked.
+        """
+        if not self._poison.is_blocked(fingerprint):
+            return
+        due_s = self._poison.trial_due_s(fingerprint)
+        if due_s == 0.0 and self._is_chosen(fingerprint):
+            return
+        self._poison.renew(fingerprint, BLOCKED_TTL_S)
+        raise Refusal(
+            ErrorKind.POISON,
+            "this request has crashed upstreams",
+            min(max(due_s, NOT_CHOSEN_RETRY_S), BLOCKED_TTL_S),
+        )
+
+    def record_accepted(self, fingerprint: str) -> None:
+        """Record that a request is sent to an upstream: a trial if it is blocked."""
+        if self._poison.is_blocked(fingerprint):
+            self._poison.start_trial(fingerprint)
+            n_trials = self._poison.notice(fingerprint).n_trials
+            self._log.warning(
+                "suspect_tried", fingerprint=fingerprint, n_trials=n_trials
+            )
+
     async def check(
         self,
         upstream: LiveUpstream,
@@ -93,6 +127,8 @@
                 upstream.id, born_ms, req.shared_parts, trial
             )
             self._poison.record_crash(fingerprint, upstream.id, SUSPECT_TTL_S)
+            if self._poison.is_blocked(fingerprint):
+                self._poison.renew(fingerprint, BLOCKED_TTL_S)
         self._metrics.count("upstream.crashes", suspect=str(is_suspect).lower())
         self._log.warning(
             "upstream_crashed",
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -118,12 +118,7 @@
             Refusal: The request is not admitted.
         """
         fingerprint = fingerprint_of_request(req)
-        if self._poison.is_blocked(fingerprint):
-            raise Refusal(
-                ErrorKind.POISON,
-                "this request has crashed upstreams",
-                self._poison.notice(fingerprint).ttl_s,
-            )
+        self._crashes.check_blocked(fingerprint)
         self._trials.check(req)
         self._budget(req.service).record_request()
         try:
@@ -131,6 +126,7 @@
         except Refusal:
             self._count_share(req, "refused")
             raise
+        self._crashes.record_accepted(fingerprint)
         self._count_share(req, "admitted")
         events = EventSplitter(req.head.last_event_id)
         progress = _Progress(events, fingerprint, admitted.usage.share_ratio)
--- a/src/chicorylead/outcome/poison.py
+++ b/src/chicorylead/outcome/poison.py
@@ -3,9 +3,15 @@
 When an upstream crashes, every request that ran on it becomes a suspect. A suspect runs
 again only after it won a claim in the log, so once in the whole fleet, and alone. If a
 second upstream crashes under it, the request is blocked on every router.
+
+Load pattern: such a request comes again for as long as its caller likes, at any router;
+a sound one that was only near two crashes comes again as well, perhaps from many
+callers. A blocked request stays blocked while it comes, but for a few single trials,
+ever further apart: an answer clears it everywhere.
 """
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from random import Random
@@ -17,6 +23,9 @@
 
 N_CRASHED_TO_BLOCK = 2
 MAX_SUSPECTS = 10_000
+MAX_TRIALS = 3  # each may crash an upstream
+TRIAL_AFTER_S = 60.0
+TRIAL_FACTOR = 4  # each trial is so much later than the one before
 CRASH_ID_SEPARATOR = "|"  # between the upstream and the random number in a crash id
 
 
@@ -36,11 +45,19 @@
         crashes: Ids of crashes.
         cleared: Ids of crashes that the request is no longer suspected of.
         expires_at: Event-loop time at which the entry expires, seconds.
+        n_trials: Trials since the request was blocked, of all routers.
+        trial_at: Event-loop time of the next trial, seconds.
     """
 
     crashes: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
     expires_at: float = 0.0
+    n_trials: int = 0
+    trial_at: float = 0.0
+
+    def postpone_trial(self, now: float) -> None:
+        """Let the next trial wait, the longer the more there were."""
+        self.trial_at = now + TRIAL_AFTER_S * TRIAL_FACTOR**self.n_trials
 
     @property
     def crashed_upstreams(self) -> frozenset[UpstreamId]:
@@ -82,18 +99,48 @@
         suspect.crashes.update(notice.crashes)
         suspect.cleared.update(notice.cleared)
         suspect.expires_at = max(suspect.expires_at, now + notice.ttl_s)
-        return len(suspect.crashes) + len(suspect.cleared) > n_before
+        is_tried = notice.n_trials > suspect.n_trials
+        suspect.n_trials = max(suspect.n_trials, notice.n_trials)
+        has_news = len(suspect.crashes) + len(suspect.cleared) > n_before
+        if has_news or is_tried:
+            suspect.postpone_trial(now)
+        return has_news
+
+    # -- blocked requests
+
+    def renew(self, fingerprint: str, ttl_s: float) -> None:
+        """Keep an entry, as its request has come again."""
+        suspect = self._suspects.pop(fingerprint)
+        suspect.expires_at = max(suspect.expires_at, self._clock() + ttl_s)
+        self._suspects[fingerprint] = suspect
+
+    def trial_due_s(self, fingerprint: str) -> float:
+        """Return the time until a blocked request may be tried, seconds; may be inf."""
+        suspect = self._suspects[fingerprint]
+        if suspect.n_trials >= MAX_TRIALS:
+            return math.inf
+        return max(0.0, suspect.trial_at - self._clock())
+
+    def start_trial(self, fingerprint: str) -> None:
+        """Record that a blocked request is tried; an answer clears it."""
+        suspect = self._suspects[fingerprint]
+        suspect.n_trials += 1
+        suspect.postpone_trial(self._clock())
+
+    # -- all suspects
 
     def clear(self, fingerprint: str) -> PoisonNotice | None:
         """Clear a suspect after its request completed.
 
         Returns:
-            The notice for the other routers; None if the request is not a suspect or
-            is blocked.
+            The notice for the other routers; None if the request is not a suspect, or
+            is blocked and was not tried.
         """
-        if not self.is_suspect(fingerprint) or self.is_blocked(fingerprint):
+        if not self.is_suspect(fingerprint):
             return None
         suspect = self._suspects[fingerprint]
+        if self.is_blocked(fingerprint) and suspect.n_trials == 0:
+            return None
         suspect.cleared.update(suspect.crashes)
         return self.notice(fingerprint)
 
@@ -102,7 +149,11 @@
         suspect = self._suspects[fingerprint]
         ttl_s = max(0.0, suspect.expires_at - self._clock())
         return PoisonNotice(
-            fingerprint, sorted(suspect.crashes), sorted(suspect.cleared), ttl_s
+            fingerprint,
+            sorted(suspect.crashes),
+            sorted(suspect.cleared),
+            ttl_s,
+            suspect.n_trials,
         )
 
     def is_suspect(self, fingerprint: str) -> bool:
@@ -121,9 +172,13 @@
         return suspect.crashed_upstreams
 
     def notices(self, limit: int) -> list[PoisonNotice]:
-        """Return the notices of up to `limit` suspects, the newest entry first."""
-        newest_first = list(reversed(self._suspects))[:limit]
-        return [self.notice(f) for f in newest_first if self.is_suspect(f)]
+        """Return the notices of up to `limit` entries, the newest first.
+
+        Those that were cleared are among them, so that all routers learn of it.
+        """
+        now = self._clock()
+        newest_first = list(reversed(self._suspects.items()))[:limit]
+        return [self.notice(f) for f, s in newest_first if s.expires_at >= now]
 
     def blocked_fingerprints(self) -> list[str]:
         """Return the fingerprints of all blocked requests."""
--- a/src/chicorylead/outcome/poison_notice.py
+++ b/src/chicorylead/outcome/poison_notice.py
@@ -13,9 +13,11 @@
         crashes: Ids of the crashes: upstream, separator and number.
         cleared: Ids of crashes not caused by the request, as it later completed.
         ttl_s: How long the notice is in force, seconds.
+        n_trials: Trials of the request since it was blocked.
     """
 
     fingerprint: str
     crashes: list[str]
     cleared: list[str]
     ttl_s: float
+    n_trials: int = 0
--- a/tests/gateway/test_attempt_machine.py
+++ b/tests/gateway/test_attempt_machine.py
@@ -138,7 +138,7 @@
     reply = CallerReply(send, close_connection=False)
     poison, metrics = PoisonList(Random(1)), Metrics()
     quarantine = PromptQuarantine(RouterId("router-1"))
-    crashes = CrashMonitor(poison, quarantine, log, metrics)
+    crashes = CrashMonitor(poison, quarantine, lambda _: True, log, metrics)
     crashes._probe = SimpleNamespace(has_crashed=_never_crashed)
     forwarder = Forwarder(
         admission,
--- a/tests/gateway/test_crash_attribution.py
+++ b/tests/gateway/test_crash_attribution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from chicorylead.outcome import poison
 from tests.gateway.fakes import ReceivedRequest, sealed_response
 from tests.gateway.test_gateway import STREAM_HEAD, GatewayHarness, _run_check
 
@@ -109,3 +110,29 @@
         assert body.count(b"id: ") == 14
 
     _run_check([scripts.crash_amid_a_stream] * 3, check)
+
+
+# Guards against a sound request that is refused for as long as callers ask for it.
+def test_a_request_that_was_blocked_is_tried_and_served_again(monkeypatch):
+    monkeypatch.setattr(poison, "TRIAL_AFTER_S", 0.5)
+    scripts = _Scripts()
+
+    async def check(harness: GatewayHarness) -> None:
+        scripts.harness = harness
+        for _ in range(2):
+            scripts.crashes_next = True
+            await harness.call("/publish/popular", method="POST", body=b"x")
+            await asyncio.sleep(0.1)
+        status, headers, _, _ = await harness.call(
+            "/publish/popular", method="POST", body=b"x"
+        )
+        assert status == 503
+        assert float(headers["retry-after"]) >= 0.3
+        await asyncio.sleep(0.5)
+        for _ in range(3):
+            status, _, _, _ = await harness.call(
+                "/publish/popular", method="POST", body=b"x"
+            )
+            assert status == 200
+
+    _run_check([scripts.crash_if_told] * 4, check)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -1,13 +1,14 @@
 """Tests of the poison list, which merges notices of crashes in any order."""
 
 import asyncio
+import math
 from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from chicorylead.ids import UpstreamId
-from chicorylead.outcome.poison import PoisonList
+from chicorylead.outcome.poison import MAX_TRIALS, TRIAL_AFTER_S, PoisonList
 from chicorylead.outcome.poison_notice import PoisonNotice
 
 U1, U2 = UpstreamId("u1"), UpstreamId("u2")
@@ -60,3 +61,99 @@
         assert lists[0].crashed_upstreams("f") == lists[1].crashed_upstreams("f")
 
     _in_loop(body)
+
+
+class _Fleet:
+    """Poison lists of several routers, which tell each other all they know.
+
+    Attributes:
+        now: Time of all of them, seconds.
+    """
+
+    def __init__(self, n_routers: int) -> None:
+        self.now = 0.0
+        self.lists = [PoisonList(Random(n)) for n in range(n_routers)]
+        for poison in self.lists:
+            poison._clock = lambda: self.now
+
+    def tell(self) -> None:
+        for sender in self.lists:
+            for receiver in self.lists:
+                for notice in sender.notices(20):
+                    if receiver is not sender:
+                        receiver.merge(notice)
+
+
+# Guards against a block that ends everywhere at once while its request still comes.
+def test_a_request_that_keeps_coming_is_tried_a_few_times_and_then_never_again():
+    def body():
+        fleet = _Fleet(3)
+        for upstream in (U1, U2):
+            fleet.lists[0].record_crash("f", upstream, 60.0)
+        fleet.tell()
+        tried_at = []
+        while fleet.now < 4 * 3600.0:
+            fleet.now += 2.0
+            for number, poison in enumerate(fleet.lists):
+                assert poison.is_blocked("f")
+                # One of them is chosen to try it.
+                if number == 0 and poison.trial_due_s("f") == 0.0:
+                    tried_at.append(fleet.now)
+                    poison.start_trial("f")
+                    poison.record_crash("f", UpstreamId(f"u{fleet.now}"), 60.0)
+                poison.renew("f", 600.0)
+            fleet.tell()
+        assert len(tried_at) == MAX_TRIALS
+        pauses = [b - a for a, b in zip([0.0, *tried_at], tried_at, strict=False)]
+        assert pauses[0] >= TRIAL_AFTER_S
+        assert all(b > 3 * a for a, b in zip(pauses, pauses[1:], strict=False))
+        assert fleet.lists[1].trial_due_s("f") == math.inf
+
+    _in_loop(body)
+
+
+def test_an_answer_in_a_trial_clears_a_request_at_all_routers():
+    def body():
+        fleet = _Fleet(2)
+        for upstream in (U1, U2):
+            fleet.lists[0].record_crash("f", upstream, 60.0)
+        fleet.tell()
+        assert fleet.lists[0].clear("f") is None
+        fleet.lists[0].start_trial("f")
+        assert fleet.lists[0].clear("f") is not None
+        fleet.tell()
+        assert not any(poison.is_suspect("f") for poison in fleet.lists)
+
+    _in_loop(body)
+
+
+def test_a_trial_elsewhere_postpones_ones_own():
+    def body():
+        fleet = _Fleet(2)
+        for upstream in (U1, U2):
+            fleet.lists[0].record_crash("f", upstream, 600.0)
+        fleet.tell()
+        fleet.now += TRIAL_AFTER_S + 1.0
+        assert [poison.trial_due_s("f") for poison in fleet.lists] == [0.0, 0.0]
+        fleet.lists[0].start_trial("f")
+        fleet.tell()
+        assert all(p.trial_due_s("f") > TRIAL_AFTER_S for p in fleet.lists)
+
+    _in_loop(body)
+
+
+def test_a_block_is_forgotten_some_time_after_its_request_has_come_last():
+    def body():
+        fleet = _Fleet(1)
+        poison = fleet.lists[0]
+        for upstream in (U1, U2):
+            poison.record_crash("f", upstream, 60.0)
+        fleet.now = 50.0
+        poison.renew("f", 600.0)
+        fleet.now = 649.0
+        assert poison.is_blocked("f")
+        fleet.now = 651.0
+        assert not poison.is_blocked("f")
+        assert poison.notices(20) == []
+
+    _in_loop(body)
