Leave a silent upstream only with a retry at another one

Cause: a run ended after 1.5 s of silence, and only then the retry budget was asked.

Change: once a timeout has passed, a request leaves its upstream only if another one takes it and a retry is left, which is taken then; else it waits on and asks again every 0.2 s. It works because nothing is given up before its replacement is sure.

--- a/src/chicorylead/gateway/admission.py
+++ b/src/chicorylead/gateway/admission.py
@@ -112,6 +112,12 @@
             placement.upstream.intake.record_sent()
         return placement
 
+    def has_other(
+        self, req: ForwardRequest, share_ratio: float, excluded: Set[UpstreamId]
+    ) -> bool:
+        """Return whether another upstream takes a request now."""
+        return bool(self._candidates(req, share_ratio, excluded))
+
     def admit(self, req: ForwardRequest) -> Admitted:
         """Return the upstream for a new request.
 
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -52,6 +52,7 @@
     used: set[Connection] = field(default_factory=set)
     n_sends: int = 0
     n_runs: int = 0
+    has_retry: bool = False  # taken from the budget before the upstream was abandoned
     rejected: Rejected | None = None
 
 
@@ -238,6 +239,7 @@
             reply,
             first_s,
             event_s,
+            lambda: self._may_abandon(req, placement.upstream, progress),
             self._on_sent,
             lambda: self._journal.begin(req, placement.upstream.entry.version),
             lambda: self._record_answering(req, progress, sender),
@@ -268,7 +270,7 @@
                 placement.upstream.record_failure()
                 progress.rejected = outcome
                 progress.n_runs += 1
-                if not self._may_run_again(req, progress):
+                if not self._may_run_again(req, progress, progress.n_runs):
                     await self._forward_rejected(outcome, reply)
                     return True
             case Broken(failure=failure):
@@ -328,7 +330,7 @@
             upstream.record_inconclusive()
         elif upstream.record_failure():
             self._record_ejection(upstream, failure.detail)
-        if self._may_run_again(req, progress):
+        if self._may_run_again(req, progress, progress.n_runs):
             return
         if reply.is_started:
             raise failure
@@ -337,15 +339,33 @@
             kind = ErrorKind.UPSTREAM_TIMEOUT
         raise Refusal(kind, failure.detail)
 
-    def _may_run_again(self, req: ForwardRequest, progress: _Progress) -> bool:
+    def _may_abandon(
+        self, req: ForwardRequest, upstream: LiveUpstream, progress: _Progress
+    ) -> bool:
+        """Return whether a request leaves a silent upstream, with a retry taken for it.
+
+        One that can't run elsewhere waits on, as the upstream may go on.
+        """
+        excluded = progress.excluded | {upstream.id}
+        if not self._admission.has_other(req, progress.share_ratio, excluded):
+            return False
+        progress.has_retry = self._may_run_again(req, progress, progress.n_runs + 1)
+        return progress.has_retry
+
+    def _may_run_again(
+        self, req: ForwardRequest, progress: _Progress, n_runs: int
+    ) -> bool:
         if req.operation.repeat is RepeatPolicy.ONCE:
             return False
-        if progress.n_runs >= req.operation.max_attempts:
+        if n_runs >= req.operation.max_attempts:
             return False
         if self._poison.is_blocked(progress.fingerprint):
             return False
         if req.answer_deadline - self._clock() < MIN_REMAINING_S:
             return False
+        if progress.has_retry:
+            progress.has_retry = False
+            return True
         return self._take_retry(req.service)
 
     def _take_retry(self, service: ServiceName) -> bool:
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -1,7 +1,8 @@
 """One attempt of a request at one upstream, with the accounting of its work."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 from chicorylead.admission.placement import Placement
 from chicorylead.admission.speed import ResponseTimes
@@ -19,6 +20,7 @@
 
 __all__ = ["OnSent", "Sender"]
 
+T = TypeVar("T")
 OnSent = Callable[[LiveUpstream, Sequence[PromptPart]], None]
 
 # Longer than any pause that operators allow between events, and shorter than the two
@@ -27,6 +29,8 @@
 # A prompt crashes its engine as the answer begins; a crash this much later has another
 # cause. A few steps of an engine.
 ANSWER_BEGUN_S = 0.1
+# Until a request asks again whether it may be taken from a silent upstream.
+ABANDON_CHECK_S = 0.2
 WITHDRAWN_DETAIL = "withdrawn, as a part of its prompt may have crashed an engine"
 MAX_BODY_BYTES = 4_194_304  # largest body allowed in either direction
 
@@ -43,6 +47,8 @@
         reply: The answer to the caller.
         first_timeout_s: Timeout for the first part of the answer, seconds.
         event_timeout_s: Timeout between parts, seconds.
+        may_abandon: Returns whether the request runs elsewhere if it is taken from
+            an upstream that is silent. Asked once a timeout has passed.
         on_sent: Called with an engine and the parts of a prompt sent to it, and with a
             limited upstream and no parts.
         on_begun: Called before the first event of a stream is forwarded.
@@ -66,6 +72,7 @@
         reply: CallerReply,
         first_timeout_s: float,
         event_timeout_s: float,
+        may_abandon: Callable[[], bool],
         on_sent: OnSent,
         on_begun: Callable[[], None],
         on_answering: Callable[[], None],
@@ -81,6 +88,7 @@
         self._reply = reply
         self._first_timeout_s = first_timeout_s
         self._event_timeout_s = event_timeout_s
+        self._may_abandon = may_abandon
         self._on_sent = on_sent
         self._on_begun = on_begun
         self._on_answering = on_answering
@@ -169,7 +177,8 @@
         self._sent_at = self._clock()
         self._used.add(conn)
         conn.send(req.id, data, has_no_body=req.head.method == "HEAD")
-        head = await conn.read_head(min(self._first_timeout_s, self._remaining_s()))
+        due_at = self._sent_at + self._first_timeout_s
+        head = await self._read(conn.read_head, due_at)
         self.head = head
         if head.is_sealed or not head.is_success:
             self._notices.record(self._upstream, head.notice, self._sent_at)
@@ -182,6 +191,22 @@
             return await self._forward_body(conn, head)
         return await self._forward_stream(conn, head)
 
+    async def _read(self, read: Callable[[float], Awaitable[T]], due_at: float) -> T:
+        """Read a part of the answer; wait on if the request can't run elsewhere.
+
+        Raises:
+            Failure: There is no such part.
+        """
+        while True:
+            try:
+                return await read(min(due_at - self._clock(), self._remaining_s()))
+            except Failure as exc:
+                if exc.kind is not FailureKind.SILENT or self._remaining_s() <= 0:
+                    raise
+                if self._may_abandon():
+                    raise
+            due_at = self._clock() + ABANDON_CHECK_S
+
     async def _read_body(self, conn: Connection) -> bytes:
         parts: list[bytes] = []
         n_bytes = 0
@@ -210,9 +235,7 @@
         self._last_event_at = self._clock()
         due_at = self._last_event_at + self._first_timeout_s
         while True:
-            part = await conn.read_body_part(
-                min(due_at - self._clock(), self._remaining_s())
-            )
+            part = await self._read(conn.read_body_part, due_at)
             if part is None:
                 break
             events = self._events.feed(part)
