--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -6,7 +6,9 @@
 
 import subprocess
 import sys
+from pathlib import Path
 
+RUN = Path(__file__).parents[2] / "deploy" / "run.py"
 _PRINT_PACKAGES = """
 import sys
 before = set(sys.modules)
@@ -42,3 +44,30 @@
     )
     loaded = {name for name in done.stdout.split() if not name.startswith("_")}
     assert loaded <= EXTERNAL | OWN, loaded - EXTERNAL - OWN
+
+
+_RECORD_SIGHUP = """
+import runpy, signal, sys, types
+
+class Recorder(types.ModuleType):
+    def __getattr__(self, name):
+        if name == "main":
+            print(signal.getsignal(signal.SIGHUP).name)
+            return lambda: None
+        raise AttributeError(name)
+
+sys.modules["chicorylead.cli.main"] = Recorder("chicorylead.cli.main")
+runpy.run_path(sys.argv[1], run_name="__main__")
+"""
+
+
+# Guards against a process that ends as its settings change while it is starting.
+def test_a_router_ignores_sighup_before_it_loads_its_modules():
+    done = subprocess.run(
+        [sys.executable, "-c", _RECORD_SIGHUP, str(RUN)],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert done.stdout.strip() == "SIG_IGN"
