Read events strictly, so that a wrong byte is not taken for a part of one

Callers saw two events melted into one where one byte of an answer was wrong: an event came twice, or an answer ended as complete without its last event, or an event had no data that readers find.

Cause: an event was whatever had one line with an id; other lines passed as fields of unknown names, and a blank line that became "\nz" was one of them.

EventFormat reads one event: an id written as a plain number, at least one line of data, no comment inside, no name that one wrong byte makes of a known one. The version field of the platform's upstreams comes from platform/.

A test asked for a comment inside an event to be passed on. One wrong byte makes such a comment of the next event's first line, so that the test is replaced by two: fields of any name pass, and a comment inside an event ends the run.

--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -26,10 +26,12 @@
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import Free, Trial
+from chicorylead.platform.upstream_wire import EVENT_NUMBER_FIELDS
 from chicorylead.traffic.model import RepeatPolicy
 from chicorylead.traffic.request import ForwardRequest
 from chicorylead.upstream.answer import AnswerHead
 from chicorylead.upstream.connection import Connection, Failure, FailureKind
+from chicorylead.upstream.event_format import EventFormat
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
 
@@ -111,6 +113,7 @@
         self._crashes = crashes
         self._notices = notices
         self._journal = journal
+        self._event_format = EventFormat(EVENT_NUMBER_FIELDS)
 
     def accept(self, req: ForwardRequest) -> Accepted:
         """Admit a request and select its first upstream, without waiting.
@@ -129,7 +132,7 @@
             raise
         self._crashes.record_accepted(fingerprint)
         self._count_share(req, "admitted")
-        events = EventSplitter(req.head.last_event_id)
+        events = EventSplitter(req.head.last_event_id, self._event_format)
         progress = _Progress(events, fingerprint, admitted.usage.share_ratio)
         return Accepted(req, admitted, progress)
 
--- a/src/chicorylead/platform/upstream_wire.py
+++ b/src/chicorylead/platform/upstream_wire.py
@@ -8,7 +8,10 @@
 from chicorylead.upstream.answer import AnswerHead, UpstreamLoad
 from chicorylead.upstream.notice import NO_NOTICE, Notice
 
-__all__ = ["decode_answer", "encode_request"]
+__all__ = ["EVENT_NUMBER_FIELDS", "decode_answer", "encode_request"]
+
+# Fields with a number that upstreams add to events: the version of the weights.
+EVENT_NUMBER_FIELDS = (b"chicorylead-weight-versions",)
 
 _REQUEST_ID = b"chicorylead-attempt-id"
 _INSTANCE = b"chicorylead-instance-id"
--- a/src/chicorylead/upstream/events.py
+++ b/src/chicorylead/upstream/events.py
@@ -6,12 +6,12 @@
 
 import re
 
+from chicorylead.upstream.event_format import EventFormat, MalformedStream
+
 __all__ = ["EventSplitter", "MalformedStream", "StreamGap"]
 
 _END = b"\n\n"
-_ID = re.compile(rb"id:[ \t]*([0-9]{1,18})[ \t\r]*")
-# A comment, or a field; the names of fields are open, so that upstreams may add some.
-_LINE = re.compile(rb":.*|[a-z][a-z0-9-]*(:.*)?", re.DOTALL)
+_NUMBER = re.compile(r"[ \t]*[0-9]{1,18}[ \t]*", re.ASCII)
 
 # Number with which streams usually begin; another one may be a wrong byte.
 FIRST_ID = 1
@@ -20,10 +20,6 @@
 MAX_BYTES_WITHOUT_EVENT = 262_144
 
 
-class MalformedStream(Exception):
-    """The bytes received are not a valid event stream."""
-
-
 class StreamGap(MalformedStream):
     """An event is missing."""
 
@@ -41,7 +37,10 @@
         fault: Why nothing after the last event of this run can be used, if so.
     """
 
-    def __init__(self, last_id: str | None = None) -> None:
+    def __init__(
+        self, last_id: str | None = None, event_format: EventFormat | None = None
+    ) -> None:
+        self._format = event_format or EventFormat()
         self.last_id = last_id
         self.n_events = 0
         self.fault: MalformedStream | None = None
@@ -96,7 +95,8 @@
         events = []
         for block in blocks:
             try:
-                events.append(self._take(block + _END, _id_of(block)))
+                event_id = self._format.read_id(block)
+                events.append(self._take(block + _END, event_id))
             except MalformedStream as exc:
                 self.fault = exc
                 break
@@ -138,27 +138,4 @@
 
 def _is_number(event_id: str | None) -> bool:
     """Return whether an id, which a caller may have sent, is a number of an event."""
-    return event_id is not None and bool(_ID.fullmatch(b"id:" + event_id.encode()))
-
-
-def _id_of(block: bytes) -> str | None:
-    """Return the id of an event, or None for comments and blank lines alone.
-
-    Raises:
-        MalformedStream: The bytes are no event with a number as its id.
-    """
-    try:
-        block.decode()
-    except UnicodeDecodeError as exc:
-        raise MalformedStream(f"not UTF-8: {exc.reason}") from exc
-    lines = [line for line in block.split(b"\n") if line]
-    for line in lines:
-        if not _LINE.fullmatch(line):
-            raise MalformedStream(f"not a field: {line[:40]!r}")
-    fields = [line for line in lines if not line.startswith(b":")]
-    if not fields:
-        return None
-    ids = [found[1] for line in fields if (found := _ID.fullmatch(line))]
-    if len(ids) != 1:
-        raise MalformedStream(f"{len(ids)} ids in an event: {fields[0][:40]!r}")
-    return ids[0].decode()
+    return event_id is not None and _NUMBER.fullmatch(event_id) is not None
--- a/tests/gateway/test_foreign_bytes.py
+++ b/tests/gateway/test_foreign_bytes.py
@@ -120,8 +120,15 @@
     assert splitter.end() == b": last\n\n"
 
 
-def test_fields_of_any_name_and_comments_inside_an_event_are_passed_on():
+def test_fields_of_any_name_are_passed_on():
     splitter = EventSplitter()
-    data = b"weight-versions: 2\nevent: token\n: why\nid: 1\nretry: 10\ndata\n\n"
+    data = b"weight-versions: 2\nevent: token\nid: 1\nretry: 10\ndata\n\n"
     assert splitter.feed(data) == data
     assert (splitter.last_id, splitter.fault) == ("1", None)
+
+
+def test_a_comment_inside_an_event_ends_the_run():
+    # One wrong byte makes a comment of the first line of the next event.
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: x\n:id: 2\ndata: y\n\n") == b""
+    assert splitter.fault is not None
