Take the end of a stream for proved only after a new event

Callers could get an answer that ends as complete without its last event: a run that went on with the stream brought that event alone, with a number that a wrong byte had made a lower one.

Cause: events up to `last_id` are dropped as repeated, a wrong number is noticed at the next event only, and the end was taken as it came. The end also confirmed the number of an only event.

A run of repeated events alone now ends as garbled. The number of an only event is confirmed by a second run with the same number. The test that asked for the end to confirm it is replaced by two stricter ones.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -246,6 +246,8 @@
             if self._events.fault is not None:
                 raise Failure(FailureKind.GARBLED, str(self._events.fault))
         rest = b"" if self._events.has_partial else self._events.end()
+        if self._events.fault is not None:
+            raise Failure(FailureKind.GARBLED, str(self._events.fault))
         if rest and self._events.n_events > 0 and not self._reply.is_started:
             await self._forward_events(rest, head)
             rest = b""
--- a/src/chicorylead/upstream/events.py
+++ b/src/chicorylead/upstream/events.py
@@ -29,7 +29,7 @@
 
     The events of a run are numbered one after the other. A run that resumes a stream
     may repeat some. The number of the first event of a stream is confirmed by the next
-    event, unless it is `FIRST_ID`.
+    event, or by another run that begins with it, unless it is `FIRST_ID`.
 
     Attributes:
         last_id: Id of the last event passed on; None before the first.
@@ -49,14 +49,17 @@
         # a first event that is not confirmed.
         self._held = b""
         self._unconfirmed: int | None = None
+        # The same of the run before, which confirms the number if it is equal.
+        self._unconfirmed_before: int | None = None
         # Number of the last event of this run, also of one that was repeated.
         self._last_of_run: int | None = None
+        self._has_new_event = False
         self._n_bytes_without_event = 0
 
     @property
     def has_partial(self) -> bool:
         """Return whether bytes of an incomplete event are buffered."""
-        return bool(self._partial.strip())
+        return bool(self._partial.strip(b"\n"))
 
     def feed(self, data: bytes) -> bytes:
         """Return the new whole events; `fault` tells whether they are the last ones."""
@@ -72,14 +75,19 @@
         return events
 
     def end(self) -> bytes:
-        """Return what follows the last event of a complete stream.
+        """Return what follows the last event; `fault` tells whether the end is proved.
 
-        The end confirms the number of its only event.
+        A wrong number is seen at the event after it. Without one, neither the number
+        of an only event is proved, nor that all events of a run were repeated ones.
         """
         if self._unconfirmed is not None:
-            self.last_id = str(self._unconfirmed)
-            self.n_events += 1
-            self._unconfirmed = None
+            if self._unconfirmed != self._unconfirmed_before:
+                self.fault = StreamGap(f"event {self._unconfirmed} is the only one")
+                return b""
+            self._record(str(self._unconfirmed), n_events=1)
+        elif self._last_of_run is not None and not self._has_new_event:
+            self.fault = StreamGap(f"run ends at repeated event {self._last_of_run}")
+            return b""
         return self._held + self._partial
 
     def restart(self) -> None:
@@ -87,8 +95,10 @@
         self.fault = None
         self._partial = b""
         self._held = b""
+        self._unconfirmed_before = self._unconfirmed
         self._unconfirmed = None
         self._last_of_run = None
+        self._has_new_event = False
         self._n_bytes_without_event = 0
 
     def _pass_on(self, blocks: list[bytes]) -> bytes:
@@ -126,12 +136,13 @@
             self._held = data
             self._unconfirmed = number
             return b""
-        self._record(event_id)
+        self._record(event_id, n_events=1 if self._unconfirmed is None else 2)
         return data
 
-    def _record(self, event_id: str) -> None:
-        self.n_events += 1 if self._unconfirmed is None else 2
+    def _record(self, event_id: str, n_events: int) -> None:
+        self.n_events += n_events
         self._unconfirmed = None
+        self._has_new_event = True
         self.last_id = event_id
         self._n_bytes_without_event = 0
 
--- a/tests/gateway/test_event_numbers.py
+++ b/tests/gateway/test_event_numbers.py
@@ -95,11 +95,73 @@
     assert (splitter.last_id, splitter.n_events) == ("8", 2)
 
 
-def test_the_end_of_a_stream_confirms_its_only_event():
+def test_the_end_of_a_stream_does_not_confirm_its_only_event():
     splitter = EventSplitter()
     assert splitter.feed(_event(7)) == b""
+    assert splitter.end() == b""
+    assert isinstance(splitter.fault, StreamGap)
+    assert (splitter.last_id, splitter.n_events) == (None, 0)
+
+
+def test_a_second_run_confirms_the_only_event_of_a_stream():
+    splitter = EventSplitter()
+    splitter.feed(_event(7))
+    splitter.end()
+    splitter.restart()
+    assert splitter.feed(_event(7)) == b""
     assert splitter.end() == _event(7)
-    assert (splitter.last_id, splitter.n_events) == ("7", 1)
+    assert (splitter.last_id, splitter.n_events, splitter.fault) == ("7", 1, None)
+
+
+# Guards against a last event that is lost because its number was made a lower one.
+@pytest.mark.parametrize("wrong", [1, 3, 4])
+def test_a_run_of_repeated_events_does_not_prove_the_end(wrong):
+    splitter = EventSplitter("4")
+    assert splitter.feed(_event(wrong)) == b""
+    assert splitter.end() == b""
+    assert isinstance(splitter.fault, StreamGap)
+    assert splitter.last_id == "4"
+
+
+def test_a_run_without_events_proves_the_end_of_a_stream_that_has_some():
+    splitter = EventSplitter()
+    splitter.feed(_event(1))
+    splitter.restart()
+    assert splitter.end() == b""
+    assert splitter.fault is None
+
+
+class _WrongNumberInSecondRun:
+    """Breaks off before the last event, and spoils the number of that one once."""
+
+    def __init__(self) -> None:
+        self.n_runs = 0
+
+    async def __call__(self, got: ReceivedRequest, writer: Writer) -> None:
+        """Answer one request."""
+        self.n_runs += 1
+        request_id = got.headers["chicorylead-attempt-id"]
+        writer.write(STREAM_HEAD.format(id=request_id).encode())
+        if self.n_runs == 1:
+            writer.write(_chunk(b"".join(_events(1, N_EVENTS - 1))))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            return
+        wrong = _event(N_EVENTS).replace(b"id: %d" % N_EVENTS, b"id: 11")
+        writer.write(_chunk(wrong) + b"0\r\n\r\n")
+
+
+def test_a_lost_last_event_leaves_the_answer_incomplete():
+    script = _WrongNumberInSecondRun()
+
+    async def check(harness: GatewayHarness) -> None:
+        status, _, body, is_whole = await harness.call("/revise/a")
+        assert (status, is_whole) == (200, False)
+        assert body == b"".join(_events(1, N_EVENTS - 1))
+
+    _run_check([script, script], check)
+    assert script.n_runs == 2
 
 
 def test_an_event_that_comes_twice_in_one_run_ends_it():
