Fail an answer at once whose framing has a wrong byte

Callers waited until their deadline for an answer with a wrong byte in the name of its length or in its transfer coding, idempotent requests included. With a wrong name of the transfer coding and a connection that ends, the sizes of the chunks reached the caller in a whole body of 200.

Cause: an answer without known framing ends with its connection.

Names that one wrong byte makes of a framing header, and codings other than chunked, end the exchange as garbled; a failure goes before the end of the parser's message. The comparison of names moves to upstream/wrong_byte.py.

--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from chicorylead.upstream.answer import AnswerHead
+from chicorylead.upstream.wrong_byte import is_nearly
 
 __all__ = ["Connection", "Failure", "FailureKind", "KeepAlive", "open_connection"]
 
@@ -22,6 +23,7 @@
 # the largest head that callers may send, and more than a late answer to another
 # request.
 MAX_STRAY_BYTES = 65_536
+_FRAMING = (b"content-length", b"transfer-encoding")
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +171,7 @@
         """
         deadline = self._loop.time() + timeout_s
         while not self._chunks:
-            if self._state is _State.DONE:
+            if self._state is _State.DONE and self._failure is None:
                 return None
             await self._wait(deadline)
         data = b"".join(self._chunks)
@@ -285,13 +287,15 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header line."""
         name = name.lower()
-        if name in (b"content-length", b"transfer-encoding"):
+        if name in _FRAMING:
             self._has_framing = True
+        if _is_unusable(name, value):
+            self._fail(FailureKind.GARBLED, f"framing {name[:40]!r}: {value[:40]!r}")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Decode the head, or skip an answer to another request."""
-        if self._state is not _State.WAITING:
+        if self._state is not _State.WAITING or self._failure is not None:
             self._is_unexpected = True
             return
         status = self._parser.get_status_code()
@@ -343,6 +347,17 @@
         self._wake_waiter()
 
 
+def _is_unusable(name: bytes, value: bytes) -> bool:
+    """Return whether the end of the body can't be told after a header line.
+
+    An answer without framing ends with its connection. With a wrong byte in the name of
+    its framing it would do so too, or never end.
+    """
+    if name == b"transfer-encoding":
+        return value.lower() != b"chunked"
+    return name not in _FRAMING and any(is_nearly(name, known) for known in _FRAMING)
+
+
 async def open_connection(
     host: str,
     port: int,
--- a/src/chicorylead/upstream/event_format.py
+++ b/src/chicorylead/upstream/event_format.py
@@ -8,6 +8,8 @@
 import re
 from collections.abc import Collection
 
+from chicorylead.upstream.wrong_byte import is_nearly
+
 __all__ = ["EventFormat", "MalformedStream"]
 
 _FIELD = re.compile(rb"([a-z][a-z0-9-]*):(.*)", re.DOTALL)
@@ -84,18 +86,7 @@
     def _is_nearly_known(self, name: bytes) -> bool:
         """Return whether one wrong byte can have made the name of a known one."""
         # One letter: the line end before a comment was the wrong byte.
-        return len(name) == 1 or any(_is_nearly(name, known) for known in self._known)
-
-
-def _is_nearly(name: bytes, known: bytes) -> bool:
-    """Return whether one wrong byte makes one name of the other.
-
-    It stands in place of a letter, which may have become a colon or a line end, or of
-    the line end before the name.
-    """
-    if len(name) == len(known):
-        return sum(a != b for a, b in zip(name, known, strict=True)) == 1
-    return known.startswith(name) or known[1:] == name or name[1:] == known
+        return len(name) == 1 or any(is_nearly(name, known) for known in self._known)
 
 
 def _check_text(block: bytes) -> None:
