Take an answer for whole only if nothing shows that it was cut short

Callers got the first bytes of a body as a whole answer of 200 where a wrong byte had lowered its length, or made its status 204 or a chunk the last one.

Cause: an answer counted as complete at the end that the parser saw, whatever came after it in the same read.

Bytes after the end that are no other answer, line ends after a stated length, a body with status 204 and trailers that nobody announced fail the exchange as garbled. Idempotent requests run elsewhere, others get 502.

--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -23,6 +23,8 @@
 # the largest head that callers may send, and more than a late answer to another
 # request.
 MAX_STRAY_BYTES = 65_536
+_HEAD_END = b"\r\n\r\n"
+_NO_CONTENT = 204  # the only status of a success that excludes a body
 _FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -104,9 +106,14 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._is_unexpected = False
         self._has_framing = False
+        self._has_length = False
+        self._has_trailers = False
+        self._has_second_answer = False
         self._has_no_body = False
         self._head: AnswerHead | None = None
         self._chunks: list[bytes] = []
+        # The end of the head, or the last bytes of the body.
+        self._last_part = _HEAD_END
         self._n_buffered = 0
         self._n_stray = 0
         self._failure: Failure | None = None
@@ -148,6 +155,8 @@
         self._request_id = request_id
         self._has_no_body = has_no_body
         self._head = None
+        self._last_part = _HEAD_END
+        self._has_second_answer = False
         self._n_stray = 0
         self.n_exchanges += 1
         self._transport.write(data)
@@ -237,26 +246,42 @@
         """Parse bytes; those received outside an exchange belong to no request."""
         if self._failure is not None:
             return
-        if self._state in (_State.IDLE, _State.DONE):
-            # Surplus bytes from the upstream: nothing after them can be trusted.
-            if self._state is _State.IDLE:
-                self._fail(FailureKind.GARBLED, "unexpected data on an idle connection")
-                self.on_idle_loss()
-            self.close()
+        if self._state is _State.IDLE:
+            self._fail(FailureKind.GARBLED, "unexpected data on an idle connection")
+            self.on_idle_loss()
             return
+        was_done = self._state is _State.DONE
         self._n_stray += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            if self._state is _State.DONE:
-                self._must_close = True
-            else:
+            if self._state is not _State.DONE:
                 self._fail(FailureKind.GARBLED, f"malformed answer: {exc}")
+            elif not self._has_second_answer:
+                self._fail(FailureKind.GARBLED, "bytes after the end of the answer")
+            self._must_close = True
         if self._n_stray > MAX_STRAY_BYTES and self._state is not _State.DONE:
             detail = f"{self._n_stray} bytes outside the expected answer"
             self._fail(FailureKind.GARBLED, detail)
+        if self._state is _State.DONE and not self._ends_with_answer(data, was_done):
+            self._fail(FailureKind.GARBLED, "line ends after the end of the answer")
+        if was_done:
+            # Nothing after a second answer can be trusted.
+            self.close()
         self._wake_waiter()
 
+    def _ends_with_answer(self, data: bytes, was_done: bool) -> bool:
+        """Return whether an answer of a stated length ends with the bytes received.
+
+        The parser skips line ends between answers. They may be the end of a body whose
+        length was made a lower one.
+        """
+        if not self._has_length or self._has_second_answer:
+            return True
+        if was_done:
+            return False
+        return data.endswith(self._last_part) or _HEAD_END.endswith(data)
+
     def eof_received(self) -> bool:
         """Complete a body without framing; any other answer is truncated."""
         self._must_close = True
@@ -278,19 +303,32 @@
 
     def on_message_begin(self) -> None:
         """Start an answer."""
+        if self._state is _State.DONE:
+            return
         self._headers = []
         self._has_framing = False
+        self._has_length = False
+        self._has_trailers = False
+
+    def on_status(self, status: bytes) -> None:
+        """Recognise a second answer to the same request."""
         if self._state is _State.DONE:
-            # A second answer to the same request.
+            self._has_second_answer = True
             self._must_close = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header line."""
+        if self._state is _State.DONE:
+            return
         name = name.lower()
-        if name in _FRAMING:
-            self._has_framing = True
+        self._has_framing |= name in _FRAMING
+        self._has_length |= name == b"content-length"
+        self._has_trailers |= name == b"trailer"
         if _is_unusable(name, value):
             self._fail(FailureKind.GARBLED, f"framing {name[:40]!r}: {value[:40]!r}")
+        if self._state is _State.BODY and not self._has_trailers:
+            # A wrong byte makes the last chunk of another one, and a header of a text.
+            self._fail(FailureKind.GARBLED, f"unannounced trailer {name[:40]!r}")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -311,6 +349,9 @@
         if self._is_unexpected:
             self._must_close = True
             return
+        if status == _NO_CONTENT and self._has_framing:
+            self._fail(FailureKind.GARBLED, "a body in an answer without content")
+            return
         self._head = head
         self._n_stray = 0
         self._state = _State.BODY
@@ -329,6 +370,7 @@
         if self._is_unexpected or self._state is not _State.BODY:
             return
         self._n_stray = 0
+        self._last_part = body
         self._chunks.append(body)
         self._n_buffered += len(body)
         if self._n_buffered > BUFFER_BYTES and not self._is_paused:
