Leave an upstream whose plain body stops coming

Callers of idempotent requests got 504 at their deadline where a wrong byte of the length, or of the size of a chunk, made the router wait for bytes that never came.

Cause: silence was watched before the head and between events, not in plain bodies.

After 0.5 s without a part of the body an idempotent request runs elsewhere, if another upstream and the retry budget allow it. The three times are one data class, Timeouts.

--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -18,7 +18,7 @@
 from chicorylead.gateway.outcome import Broken, NotRun, Rejected, Served
 from chicorylead.gateway.prompt_trials import PromptTrials
 from chicorylead.gateway.reply import CallerReply
-from chicorylead.gateway.sender import EVENT_TIMEOUT_S, OnSent, Sender
+from chicorylead.gateway.sender import OnSent, Sender, Timeouts
 from chicorylead.gateway.settings import Bounds
 from chicorylead.gateway.stream_journal import StreamJournal
 from chicorylead.ids import ServiceName, UpstreamId
@@ -39,6 +39,10 @@
 
 MAX_SENDS = 4  # bounds the full or unreachable upstreams that a request tries
 STALL_TIMEOUT_FACTOR = 3.0  # times the expected wait; slower counts as stalled
+# Longer than any pause that operators allow between events, and shorter than the two
+# seconds after which callers leave.
+EVENT_TIMEOUT_S = 1.5
+BODY_TIMEOUT_S = 0.5  # a lost segment is sent again twice within it
 STALL_TIMEOUT_MIN_S = 0.8  # twice a typical latency objective
 MIN_REMAINING_S = 0.03  # with less time left, no upstream can answer
 
@@ -232,7 +236,7 @@
                 ErrorKind.UPSTREAM_TIMEOUT,
                 "too little time is left before the deadline",
             )
-        first_s, event_s = self._timeouts(req, placement, progress, remaining_s)
+        timeouts = self._timeouts(req, placement, progress, remaining_s)
         sender = Sender(
             req,
             placement,
@@ -240,8 +244,7 @@
             progress.events,
             progress.used,
             reply,
-            first_s,
-            event_s,
+            timeouts,
             lambda: self._may_abandon(req, placement.upstream, progress),
             self._on_sent,
             lambda: self._journal.begin(req, placement.upstream.entry.version),
@@ -293,17 +296,17 @@
         placement: Placement,
         progress: _Progress,
         remaining_s: float,
-    ) -> tuple[float, float]:
-        """Return the timeouts for the first part and between parts, seconds.
+    ) -> Timeouts:
+        """Return the times after which an answer counts as stalled.
 
         A request that may not run elsewhere waits until its deadline, as it gains
         nothing by abandoning an upstream.
         """
         runs_left = req.operation.max_attempts - progress.n_runs - 1
         if not req.may_repeat or runs_left <= 0:
-            return remaining_s, remaining_s
+            return Timeouts(remaining_s, remaining_s, remaining_s)
         first_s = max(STALL_TIMEOUT_MIN_S, STALL_TIMEOUT_FACTOR * placement.wait_s)
-        return first_s, EVENT_TIMEOUT_S
+        return Timeouts(first_s, EVENT_TIMEOUT_S, BODY_TIMEOUT_S)
 
     def _handle_not_run(
         self, upstream: LiveUpstream, progress: _Progress, outcome: NotRun
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 from typing import TypeVar
 
 from chicorylead.admission.placement import Placement
@@ -18,14 +19,11 @@
 from chicorylead.upstream.events import EventSplitter
 from chicorylead.upstream.live import LiveUpstream
 
-__all__ = ["OnSent", "Sender"]
+__all__ = ["OnSent", "Sender", "Timeouts"]
 
 T = TypeVar("T")
 OnSent = Callable[[LiveUpstream, Sequence[PromptPart]], None]
 
-# Longer than any pause that operators allow between events, and shorter than the two
-# seconds after which callers leave.
-EVENT_TIMEOUT_S = 1.5
 # A prompt crashes its engine as the answer begins; a crash this much later has another
 # cause. A few steps of an engine.
 ANSWER_BEGUN_S = 0.1
@@ -35,6 +33,21 @@
 MAX_BODY_BYTES = 4_194_304  # largest body allowed in either direction
 
 
+@dataclass(frozen=True, slots=True)
+class Timeouts:
+    """Times without a part of an answer after which it counts as stalled, seconds.
+
+    Attributes:
+        first_s: For the head, and for the first event of a stream.
+        event_s: Between events.
+        body_s: Between parts of a plain body.
+    """
+
+    first_s: float
+    event_s: float
+    body_s: float
+
+
 class Sender:
     """Sends a request to the upstream selected for it, and forwards the answer.
 
@@ -45,8 +58,7 @@
         events: Splits the stream, and keeps track of the forwarded events.
         used: Connections that carried earlier sends of the request; this one is added.
         reply: The answer to the caller.
-        first_timeout_s: Timeout for the first part of the answer, seconds.
-        event_timeout_s: Timeout between parts, seconds.
+        timeouts: Times after which the answer counts as stalled.
         may_abandon: Returns whether the request runs elsewhere if it is taken from
             an upstream that is silent. Asked once a timeout has passed.
         on_sent: Called with an engine and the parts of a prompt sent to it, and with a
@@ -70,8 +82,7 @@
         events: EventSplitter,
         used: set[Connection],
         reply: CallerReply,
-        first_timeout_s: float,
-        event_timeout_s: float,
+        timeouts: Timeouts,
         may_abandon: Callable[[], bool],
         on_sent: OnSent,
         on_begun: Callable[[], None],
@@ -86,8 +97,7 @@
         self._events = events
         self._used = used
         self._reply = reply
-        self._first_timeout_s = first_timeout_s
-        self._event_timeout_s = event_timeout_s
+        self._timeouts = timeouts
         self._may_abandon = may_abandon
         self._on_sent = on_sent
         self._on_begun = on_begun
@@ -177,7 +187,7 @@
         self._sent_at = self._clock()
         self._used.add(conn)
         conn.send(req.id, data, has_no_body=req.head.method == "HEAD")
-        due_at = self._sent_at + self._first_timeout_s
+        due_at = self._sent_at + self._timeouts.first_s
         head = await self._read(conn.read_head, due_at)
         self.head = head
         if head.is_sealed or not head.is_success:
@@ -210,14 +220,17 @@
     async def _read_body(self, conn: Connection) -> bytes:
         parts: list[bytes] = []
         n_bytes = 0
-        while (data := await conn.read_body_part(self._remaining_s())) is not None:
+        while True:
+            due_at = self._clock() + self._timeouts.body_s
+            data = await self._read(conn.read_body_part, due_at)
+            if data is None:
+                return b"".join(parts)
             n_bytes += len(data)
             if n_bytes > MAX_BODY_BYTES:
                 raise Failure(
                     FailureKind.GARBLED, f"answer too large: {n_bytes} bytes read"
                 )
             parts.append(data)
-        return b"".join(parts)
 
     async def _forward_body(self, conn: Connection, head: AnswerHead) -> SendOutcome:
         body = await self._read_body(conn)
@@ -233,7 +246,7 @@
 
     async def _forward_stream(self, conn: Connection, head: AnswerHead) -> SendOutcome:
         self._last_event_at = self._clock()
-        due_at = self._last_event_at + self._first_timeout_s
+        due_at = self._last_event_at + self._timeouts.first_s
         while True:
             part = await self._read(conn.read_body_part, due_at)
             if part is None:
@@ -241,7 +254,7 @@
             events = self._events.feed(part)
             if events:
                 # Only new events extend the timeout; other bytes do not.
-                due_at = self._clock() + self._event_timeout_s
+                due_at = self._clock() + self._timeouts.event_s
                 await self._forward_events(events, head)
             if self._events.fault is not None:
                 raise Failure(FailureKind.GARBLED, str(self._events.fault))
--- a/tests/gateway/test_silent_upstreams.py
+++ b/tests/gateway/test_silent_upstreams.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chicorylead.admission.retry_budget import RetryBudget
-from chicorylead.gateway.sender import EVENT_TIMEOUT_S
+from chicorylead.gateway.forward import EVENT_TIMEOUT_S
 from tests.gateway.fakes import ReceivedRequest, sealed_response
 from tests.gateway.test_gateway import (
     STREAM_HEAD,
