Count a refusal as not run whatever its body is

Callers got 502 or 504 for a request that had not run, where the body of the refusal was incomplete: a wrong byte of its length is enough.

Cause: the outcome was taken after the body, which is read only to use the connection again.

The body is read for 0.1 s at most; the head alone decides.

test_a_refusal_counts_whatever_its_body_is: both cases failed on the sources before, none since. tests/gateway passes.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one upstream, with the accounting of its work."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -24,6 +25,8 @@
 T = TypeVar("T")
 OnSent = Callable[[LiveUpstream, Sequence[PromptPart]], None]
 
+# A few round trips; the head of the answer has said that the request did not run.
+REFUSAL_BODY_TIMEOUT_S = 0.1
 # A prompt crashes its engine as the answer begins; a crash this much later has another
 # cause. A few steps of an engine.
 ANSWER_BEGUN_S = 0.1
@@ -193,7 +196,7 @@
         if head.is_sealed or not head.is_success:
             self._notices.record(self._upstream, head.notice, self._sent_at)
         if head.is_not_run:
-            await self._read_body(conn)
+            await self._skip_body(conn)
             return NotRun(f"status {head.status}", was_received=True)
         if head.is_success and not head.is_sealed:
             raise Failure(FailureKind.GARBLED, "successful answer without a seal")
@@ -232,6 +235,13 @@
                 )
             parts.append(data)
 
+    async def _skip_body(self, conn: Connection) -> None:
+        """Read the body of a refusal, so that the connection may be used again."""
+        with contextlib.suppress(Failure, TimeoutError):
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+                while await conn.read_body_part(REFUSAL_BODY_TIMEOUT_S) is not None:
+                    pass
+
     async def _forward_body(self, conn: Connection, head: AnswerHead) -> SendOutcome:
         body = await self._read_body(conn)
         if head.status >= 500:
--- a/tests/gateway/test_stalled_bodies.py
+++ b/tests/gateway/test_stalled_bodies.py
@@ -20,6 +20,7 @@
 # Callers wait for 2 s.
 SERVED_WITHIN_S = 1.6
 REFUSED_WITHIN_S = 1.0
+NOT_RUN = "Chicorylead-Not-Executed: 1\r\nContent-Length: 9\r\n\r\n"
 
 
 class _Stalling:
@@ -85,3 +86,20 @@
 
     _run_check([slow, slow], check)
     assert len(n_runs) == 1
+
+
+@pytest.mark.parametrize("rest", [NOT_RUN, NOT_RUN.replace("9", "0") + "surplus"])
+def test_a_refusal_counts_whatever_its_body_is(rest):
+    # The head says that the request did not run, so that it may go elsewhere.
+    refusing = _Stalling(rest, "503 Busy")
+
+    async def check(harness: GatewayHarness) -> None:
+        for _ in range(2):
+            async with asyncio.timeout(REFUSED_WITHIN_S):
+                status, _, body, _ = await harness.call(
+                    "/publish/a", method="POST", body=b"x"
+                )
+            assert (status, body) == (200, b"hello")
+
+    _run_check([refusing, _serve], check)
+    assert refusing.n_runs > 0
