Pass on a promise of "not run" only if the upstream states it

Callers of requests that may run once could get 503 although the request had run: an upstream's 500 with a wrong digit, or a 503 that does not state "not run". They would send it again.

Cause: the status of an upstream's answer was passed on unchanged.

--- a/src/chicorylead/http_client.py
+++ b/src/chicorylead/http_client.py
@@ -158,6 +158,7 @@
         status=status,
         request_id=_NO_ID,
         is_not_run=False,
+        is_unproved_refusal=False,
         is_wrong_upstream=False,
         is_sealed=False,
         notice=NO_NOTICE,
--- a/src/chicorylead/platform/upstream_wire.py
+++ b/src/chicorylead/platform/upstream_wire.py
@@ -23,6 +23,8 @@
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _WRONG_UPSTREAM = 421
+# Statuses with which callers are promised that their request did not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _TURNED_AWAY = 503
 
 _CONNECTION_HEADERS = frozenset(
@@ -77,10 +79,12 @@
     request_id = values.get(_REQUEST_ID)
     connection = values.get(b"connection", b"").lower()
     is_wrong_upstream = status == _WRONG_UPSTREAM
+    is_not_run = is_wrong_upstream or _NOT_RUN in values
     return AnswerHead(
         status=status,
         request_id=None if request_id is None else request_id.decode("latin-1"),
-        is_not_run=is_wrong_upstream or _NOT_RUN in values,
+        is_not_run=is_not_run,
+        is_unproved_refusal=status in _NOT_RUN_STATUSES and not is_not_run,
         is_wrong_upstream=is_wrong_upstream,
         is_sealed=_SEAL in values,
         notice=NO_NOTICE if is_wrong_upstream else _notice(status, values),
--- a/src/chicorylead/upstream/answer.py
+++ b/src/chicorylead/upstream/answer.py
@@ -31,6 +31,8 @@
     Attributes:
         request_id: Id of the answered request; None if the answer does not state it.
         is_not_run: Whether the upstream states that it did not run the request.
+        is_unproved_refusal: Whether the status promises that the request did not run,
+            while the upstream does not state it.
         is_wrong_upstream: Whether another upstream has taken over the address.
         is_sealed: Whether the answer carries the upstream's seal.
         notice: What the upstream states about the work that it takes.
@@ -42,6 +44,7 @@
     status: int
     request_id: str | None
     is_not_run: bool
+    is_unproved_refusal: bool
     is_wrong_upstream: bool
     is_sealed: bool
     notice: Notice
