Believe an upstream with an earlier start time once it goes on writing

Cause: entries were ordered by start time alone, so that every later entry of such an upstream counted as a late write of one that had ended.

Two entries with rising sequence numbers, 1 s apart and with none of the known incarnation between them, show that it runs. A single one changes nothing, as before. The follower asks where positions and revisions disagree.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -17,7 +17,13 @@
 from chicorylead.gateway.admission import AdmissionController
 from chicorylead.gateway.crash_monitor import CrashMonitor
 from chicorylead.gateway.directory import Directory
-from chicorylead.gateway.follower import OnRecord, OnSnapshot, Revision, StreamFollower
+from chicorylead.gateway.follower import (
+    OnRecord,
+    OnSnapshot,
+    Replaces,
+    Revision,
+    StreamFollower,
+)
 from chicorylead.gateway.forward import Forwarder
 from chicorylead.gateway.ingress import Ingress
 from chicorylead.gateway.local_router import GatewayRouter
@@ -118,6 +124,7 @@
                 self._apply_configuration,
                 lambda _: None,
                 revision_of_configuration,
+                lambda _, is_later: not is_later,
                 rng,
             ),
             Stream.UPSTREAMS: self._make_follower(
@@ -125,6 +132,7 @@
                 self._registry.apply_record,
                 self._registry.apply_snapshot,
                 revision_of_upstream,
+                self._registry.replaces,
                 rng,
             ),
         }
@@ -243,6 +251,7 @@
         on_record: OnRecord,
         on_snapshot: OnSnapshot,
         revision: Revision,
+        replaces: Replaces,
         rng: Random,
     ) -> StreamFollower:
         return StreamFollower(
@@ -253,6 +262,7 @@
             lambda: self._serving.is_reader() or self._records_age.is_too_high,
             lambda: self._peers.send_heartbeats(),
             revision,
+            replaces,
             self._handle_era,
             self._records_age.check_due_s,
             self.log,
--- a/src/chicorylead/gateway/follower.py
+++ b/src/chicorylead/gateway/follower.py
@@ -29,7 +29,14 @@
     StreamTrimmed,
 )
 
-__all__ = ["HOP_S", "OnRecord", "OnSnapshot", "Revision", "StreamFollower"]
+__all__ = [
+    "HOP_S",
+    "OnRecord",
+    "OnSnapshot",
+    "Replaces",
+    "Revision",
+    "StreamFollower",
+]
 
 # Calls are billed, so polls are long. Checks, the offsets that peers report and the
 # keep-alive probes of a silent connection show a router earlier that it lacks records.
@@ -52,6 +59,7 @@
 OnRecord = Callable[[StreamRecord], None]
 OnSnapshot = Callable[[list[StreamRecord]], None]
 Revision = Callable[[StreamRecord], tuple[int, ...] | None]
+Replaces = Callable[[StreamRecord, bool], bool]
 
 
 class StreamFollower:
@@ -71,6 +79,9 @@
         revision: Returns a number, or several, that rise with each change of what a
             record describes, whatever the history of the store; None for a malformed
             record.
+        replaces: Returns whether a record replaces the known one of the same history
+            where positions and revisions disagree, given the record and whether its
+            position is later.
         on_era: Called with the number of a history that is new to this follower.
         check_due_s: Returns the time until the records of all streams have to be
             checked, seconds; 0 if it is over.
@@ -100,6 +111,7 @@
         must_read: Callable[[], bool],
         on_news: Callable[[], None],
         revision: Revision,
+        replaces: Replaces,
         on_era: Callable[[int], None],
         check_due_s: Callable[[], float],
         log: EventLog,
@@ -113,6 +125,7 @@
         self._must_read = must_read
         self._on_news = on_news
         self._revision = revision
+        self._replaces = replaces
         self._on_era = on_era
         self._check_due_s = check_due_s
         self._log = log
@@ -462,6 +475,10 @@
             return is_later
         if revision is None:
             return is_later and record.era == known.era
+        is_lower = revision < known_revision
+        has_change = record.era == known.era and revision != known_revision
+        if has_change and is_later == is_lower:
+            return self._replaces(record, is_later)
         return (revision, record.position) > (known_revision, known.position)
 
     def apply_peer_page(self, page: PeerPage, peer: str) -> None:
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -12,6 +12,7 @@
 from chicorylead.upstream.intakes import Intakes, UpstreamIncarnation
 from chicorylead.upstream.live import LiveUpstream
 from chicorylead.upstream.registered import ListedState, RegisteredUpstream
+from chicorylead.upstream.restart import RestartDetector
 
 __all__ = ["Registry"]
 
@@ -47,6 +48,7 @@
         self._outage_ended_at = outage_ended_at
         self._log = log
         self._loop = asyncio.get_running_loop()
+        self._restarts = RestartDetector(self._loop.time)
         self._live: dict[UpstreamId, LiveUpstream] = {}
         self._lapsed: dict[UpstreamId, asyncio.TimerHandle] = {}
         self._memory_tokens: dict[ServiceName, float] = {}
@@ -118,6 +120,25 @@
 
     # -- records
 
+    def replaces(self, record: StreamRecord, is_later: bool) -> bool:
+        """Return whether an entry replaces the known one of the same history.
+
+        Args:
+            record: An entry whose position is later and start time earlier than those
+                of the known one, or the other way round.
+            is_later: Whether its position is later.
+        """
+        if not is_later or record.value is None:
+            return False
+        try:
+            entry = self._decode_entry(record.key, record.value)
+        except ValueError:
+            return False
+        current = self._live.get(entry.id)
+        if current is None or not 0 < entry.born_ms < current.entry.born_ms:
+            return False
+        return self._restarts.record(entry)
+
     def apply_record(self, record: StreamRecord) -> None:
         """Apply a change of an entry."""
         self._era = max(self._era, record.era)
@@ -149,9 +170,11 @@
     def _apply_entry(self, entry: RegisteredUpstream, position: Position) -> None:
         current = self._live.get(entry.id)
         is_old = current is not None and _is_older(entry, current.entry)
+        is_old = is_old and not self._restarts.is_confirmed(entry)
         if is_old or self._was_removed(entry, position):
             self._log.info("upstream_entry_old", upstream=entry.id, position=position)
             return
+        self._restarts.discard(entry.id)
         if current is None or _is_restarted(entry, current.entry):
             self._start(entry)
             event = "upstream_listed" if current is None else "upstream_restarted"
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -378,6 +378,7 @@
         "must_read": lambda: True,
         "on_news": lambda: None,
         "revision": revision_of_configuration,
+        "replaces": lambda record, is_later: not is_later,
         "on_era": lambda era: None,
         "check_due_s": lambda: math.inf,
         "log": EventLog(),
