Count the trials of a blocked request since the last one that was answered

Cause: trials were counted over all blocks. The number at the last answered one is now kept, told to the other routers and subtracted.

test_a_request_that_its_trials_clear_is_tried_in_each_later_block failed on the sources before, and passes.

--- a/src/chicorylead/outcome/poison.py
+++ b/src/chicorylead/outcome/poison.py
@@ -39,13 +39,14 @@
 class _Suspect:
     """Crashes attributed to one fingerprint.
 
-    Both sets only grow, so that notices can be merged in any order.
+    The sets and numbers only grow, so that notices can be merged in any order.
 
     Attributes:
         crashes: Ids of crashes.
         cleared: Ids of crashes that the request is no longer suspected of.
         expires_at: Event-loop time at which the entry expires, seconds.
-        n_trials: Trials since the request was blocked, of all routers.
+        n_trials: Trials since the request was first blocked, of all routers.
+        n_trials_cleared: Number of these up to the last one that was answered.
         trial_at: Event-loop time of the next trial, seconds.
     """
 
@@ -53,11 +54,17 @@
     cleared: set[str] = field(default_factory=set)
     expires_at: float = 0.0
     n_trials: int = 0
+    n_trials_cleared: int = 0
     trial_at: float = 0.0
 
+    @property
+    def n_trials_of_block(self) -> int:
+        """Return the number of trials since the last one that was answered."""
+        return self.n_trials - self.n_trials_cleared
+
     def postpone_trial(self, now: float) -> None:
         """Let the next trial wait, the longer the more there were."""
-        self.trial_at = now + TRIAL_AFTER_S * TRIAL_FACTOR**self.n_trials
+        self.trial_at = now + TRIAL_AFTER_S * TRIAL_FACTOR**self.n_trials_of_block
 
     @property
     def crashed_upstreams(self) -> frozenset[UpstreamId]:
@@ -101,6 +108,9 @@
         suspect.expires_at = max(suspect.expires_at, now + notice.ttl_s)
         is_tried = notice.n_trials > suspect.n_trials
         suspect.n_trials = max(suspect.n_trials, notice.n_trials)
+        suspect.n_trials_cleared = max(
+            suspect.n_trials_cleared, notice.n_trials_cleared
+        )
         has_news = len(suspect.crashes) + len(suspect.cleared) > n_before
         if has_news or is_tried:
             suspect.postpone_trial(now)
@@ -117,7 +127,7 @@
     def trial_due_s(self, fingerprint: str) -> float:
         """Return the time until a blocked request may be tried, seconds; may be inf."""
         suspect = self._suspects[fingerprint]
-        if suspect.n_trials >= MAX_TRIALS:
+        if suspect.n_trials_of_block >= MAX_TRIALS:
             return math.inf
         return max(0.0, suspect.trial_at - self._clock())
 
@@ -139,8 +149,9 @@
         if not self.is_suspect(fingerprint):
             return None
         suspect = self._suspects[fingerprint]
-        if self.is_blocked(fingerprint) and suspect.n_trials == 0:
+        if self.is_blocked(fingerprint) and suspect.n_trials_of_block == 0:
             return None
+        suspect.n_trials_cleared = suspect.n_trials
         suspect.cleared.update(suspect.crashes)
         return self.notice(fingerprint)
 
@@ -154,6 +165,7 @@
             sorted(suspect.cleared),
             ttl_s,
             suspect.n_trials,
+            suspect.n_trials_cleared,
         )
 
     def is_suspect(self, fingerprint: str) -> bool:
--- a/src/chicorylead/outcome/poison_notice.py
+++ b/src/chicorylead/outcome/poison_notice.py
@@ -13,7 +13,8 @@
         crashes: Ids of the crashes: upstream, separator and number.
         cleared: Ids of crashes not caused by the request, as it later completed.
         ttl_s: How long the notice is in force, seconds.
-        n_trials: Trials of the request since it was blocked.
+        n_trials: Trials of the request since it was first blocked.
+        n_trials_cleared: Number of these up to the last one that was answered.
     """
 
     fingerprint: str
@@ -21,3 +22,4 @@
     cleared: list[str]
     ttl_s: float
     n_trials: int = 0
+    n_trials_cleared: int = 0
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -127,6 +127,30 @@
     _in_loop(body)
 
 
+# Guards against a sound request that is refused for good, as it was near crashes often.
+def test_a_request_that_its_trials_clear_is_tried_in_each_later_block():
+    def body():
+        fleet = _Fleet(2)
+        for number in range(MAX_TRIALS + 2):
+            for upstream in (U1, U2):
+                fleet.lists[0].record_crash("f", upstream, 60.0)
+            fleet.tell()
+            assert all(poison.is_blocked("f") for poison in fleet.lists)
+            # An answer to a copy that was on its way is no trial.
+            assert fleet.lists[1].clear("f") is None
+            fleet.now += TRIAL_AFTER_S + 1.0
+            for poison in fleet.lists:
+                poison.renew("f", 600.0)
+            tried = fleet.lists[number % 2]
+            assert tried.trial_due_s("f") == 0.0
+            tried.start_trial("f")
+            assert tried.clear("f") is not None
+            fleet.tell()
+            assert not any(poison.is_suspect("f") for poison in fleet.lists)
+
+    _in_loop(body)
+
+
 def test_a_trial_elsewhere_postpones_ones_own():
     def body():
         fleet = _Fleet(2)
