Check each event of an engine's stream in chicorylead router

Cause: only the first line of a run was checked; blank lines were counted.

Each event has to be one and to bear the next number, the terminal event the number after the last. What follows a wrong one breaks the exchange off as crossed, after the sound events before it.

--- a/src/chicorylead/upstream/exchange.py
+++ b/src/chicorylead/upstream/exchange.py
@@ -22,13 +22,13 @@
 
 from chicorylead.ids import ExchangeId
 from chicorylead.settings import TimeoutSettings
+from chicorylead.upstream.event_format import EventFormat, MalformedStream
 
 __all__ = ["Break", "BreakKind", "Exchange", "ExchangeClient", "PlainAnswer"]
 
 KEEP_ALIVE_S = 4.0
 EVENT_END = b"\n\n"
 DONE_START = b"event: done\n"
-DONE_INSIDE = b"\n\nevent: done\n"
 READ_BUFFER_BYTES = 65536
 MAX_ANSWER_BYTES = 16_000_000
 
@@ -99,6 +99,7 @@
     def __init__(self, timeouts: TimeoutSettings) -> None:
         self._timeouts = timeouts
         self._clock = asyncio.get_running_loop().time
+        self._event_format = EventFormat()
         self._pooled = ClientSession(
             connector=TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S),
             auto_decompress=False,
@@ -135,33 +136,50 @@
         self, resp: ClientResponse, exchange: Exchange
     ) -> AsyncIterator[tuple[bytes, int]]:
         pending = b""
-        is_first = True
+        number = exchange.from_event
         while True:
             data = await self._read(resp, exchange.deadline)
             if not data:
                 raise Break(
                     BreakKind.TRUNCATED, "stream ended before its terminal event"
                 )
-            pending += data
-            end = pending.rfind(EVENT_END)
-            if end < 0:
-                if len(pending) > MAX_ANSWER_BYTES:
-                    raise Break(BreakKind.LOST, "event exceeds the size limit")
-                continue
-            whole, pending = pending[: end + 2], pending[end + 2 :]
-            if is_first:
-                self._check_first_event(whole, exchange)
-                is_first = False
-            whole, done = _split_done(whole)
-            if whole:
-                yield whole, whole.count(EVENT_END)
-            if done:
+            *blocks, pending = (pending + data).split(EVENT_END)
+            if len(pending) > MAX_ANSWER_BYTES:
+                raise Break(BreakKind.LOST, "event exceeds the size limit")
+            n_sound, fault = self._check_events(blocks, number)
+            is_done = n_sound < len(blocks) and fault is None
+            if n_sound:
+                number += n_sound
+                sound = b"".join(block + EVENT_END for block in blocks[:n_sound])
+                yield sound, n_sound
+            if fault is not None:
+                raise fault
+            if is_done:
                 return
 
-    def _check_first_event(self, events: bytes, exchange: Exchange) -> None:
-        line = events.partition(b"\n")[0]
-        if line.startswith(b"id: ") and line != b"id: %d" % exchange.from_event:
-            raise Break(BreakKind.CROSSED, f"stream starts at {line!r}")
+    def _check_events(
+        self, blocks: list[bytes], number: int
+    ) -> tuple[int, Break | None]:
+        """Return how many events follow each other, and why the next one does not.
+
+        Args:
+            blocks: Events, perhaps with the terminal one among them.
+            number: Number of the first event.
+        """
+        for n_sound, block in enumerate(blocks):
+            try:
+                event_id = self._event_format.read_id(block)
+            except MalformedStream as exc:
+                return n_sound, Break(BreakKind.CROSSED, str(exc))
+            if event_id != str(number + n_sound):
+                detail = f"event {event_id} in place of {number + n_sound}"
+                return n_sound, Break(BreakKind.CROSSED, detail)
+            if block.startswith(DONE_START):
+                return n_sound, None
+            if not block.startswith(b"id:"):
+                detail = f"not an event of the engine: {block[:40]!r}"
+                return n_sound, Break(BreakKind.CROSSED, detail)
+        return len(blocks), None
 
     async def _read(self, resp: ClientResponse, deadline: float) -> bytes:
         left_s = deadline - self._clock()
@@ -278,13 +296,3 @@
     if exchange.key:
         headers["Idempotency-Key"] = exchange.key
     return headers
-
-
-def _split_done(events: bytes) -> tuple[bytes, bool]:
-    """Remove the terminal event; return whether it was there."""
-    if events.startswith(DONE_START):
-        return b"", True
-    at = events.find(DONE_INSIDE)
-    if at < 0:
-        return events, False
-    return events[: at + 2], True
