Spoil any byte of an answer in the soak

The soak's upstreams wrote foreign bytes and wrong numbers, but changed no byte of a head, of the framing or of an event, so that it could not find the faults of this class.

They now spoil one byte outside the text of streams, plain answers and refusals.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -1,6 +1,7 @@
 """Upstreams and callers of the soak test, outside the processes under test."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from enum import Enum
 from random import Random
@@ -9,7 +10,7 @@
 from tests.gateway.fakes import ReceivedRequest, encode_request, sealed_response
 from tests.soak.ledger import N_EVENTS, Ledger, expected_body, expected_events
 
-__all__ = ["Caller", "SoakUpstream"]
+__all__ = ["Caller", "SoakUpstream", "spoil"]
 
 STREAM_HEAD = (
     "HTTP/1.1 200 OK\r\nChicorylead-Attempt-Id: {id}\r\n"
@@ -28,6 +29,7 @@
 DEADLINE_MS = 2500
 MAX_TAKE_UPS = 3
 MAX_TAKE_UP_PAUSE_S = 1.0  # some meet routers that have started meanwhile
+TELLING_BYTES = b"0123456789abcdefxyz:- \r\n"
 DEADLY_PART = "dead"
 DEADLY_RATIO = 0.1  # of the requests with a prompt
 PREFILL_S = 0.02
@@ -41,6 +43,49 @@
     CUT = 1
     FOREIGN = 2
     WRONG_NUMBER = 3
+    WRONG_BYTE = 4
+
+
+# One wrong byte may be any of some hundred, so that it comes more often.
+_STREAM_FAULTS = (
+    _StreamFault.CUT,
+    _StreamFault.FOREIGN,
+    _StreamFault.WRONG_NUMBER,
+    *[_StreamFault.WRONG_BYTE] * 5,
+)
+
+
+def spoil(pieces: list[bytes], rng: Random) -> list[bytes]:
+    """Return an answer with one wrong byte outside its text.
+
+    It is one of the head, or of the framing and the events after it. The lines that
+    frame the body are a third choice, as there are few bytes in them. Half of the bytes
+    are such that an answer may be read with them.
+
+    Args:
+        pieces: What is written at a time; the first begins with the head.
+        rng: Random source of the position and the byte.
+    """
+    data = bytearray(b"".join(pieces))
+    head_end = data.index(b"\r\n\r\n") + 4
+    texts = [found.span(1) for found in re.finditer(rb"data: ([^\n]*)", data)]
+    if not texts:
+        texts = [(head_end, len(data))]
+    text = {at for start, end in texts for at in range(start, end)}
+    framing = re.search(rb"(?:Content-Length|Transfer-Encoding): [^\r]*", data)
+    regions = [
+        list(range(head_end)),
+        [at for at in range(head_end, len(data)) if at not in text],
+        list(range(*framing.span())),
+    ]
+    at = rng.choice(rng.choice([region for region in regions if region]))
+    values = rng.choice((range(256), TELLING_BYTES))
+    data[at] = rng.choice([byte for byte in values if byte != data[at]])
+    spoilt = []
+    for piece in pieces:
+        spoilt.append(bytes(data[: len(piece)]))
+        del data[: len(piece)]
+    return spoilt
 
 
 class SoakUpstream:
@@ -105,21 +150,26 @@
             elif draw < self.fault_ratio / 8:
                 # Once more where the next answer on this connection is expected.
                 self._late[writer] = head
+            elif draw < self.fault_ratio * 3 / 16:
+                (head,) = spoil([head], self._rng)
             writer.write(self._with_notices(head))
             return
         self._ledger.record_run(request_id)
         if received.target.startswith("/revise/"):
             fault = _StreamFault.NONE
             if draw < self.fault_ratio:
-                fault = _StreamFault(1 + int(draw * 4e6) % (len(_StreamFault) - 1))
+                fault = self._rng.choice(_STREAM_FAULTS)
             await self._stream(received, writer, request_id, fault)
             return
         await asyncio.sleep(MAX_WORK_S * self._rng.random())
-        if draw < self.fault_ratio / 2:
+        if draw < self.fault_ratio * 3 / 8:
             writer.transport.abort()
-        elif draw < self.fault_ratio * 3 / 4:
+        elif draw < self.fault_ratio / 2:
             writer.write(sealed_response(received, expected_body(request_id))[:-7])
             writer.close()
+        elif draw < self.fault_ratio * 7 / 8:
+            response = sealed_response(received, expected_body(request_id))
+            writer.write(spoil([response], self._rng)[0])
         elif draw < self.fault_ratio:
             stray = sealed_response(received, b"of another", request_id="another")
             writer.write(sealed_response(received, expected_body(request_id)) + stray)
@@ -146,8 +196,7 @@
         request_id: str,
         fault: _StreamFault,
     ) -> None:
-        head = STREAM_HEAD.format(id=request_id).encode()
-        writer.write(self._with_notices(head))
+        head = self._with_notices(STREAM_HEAD.format(id=request_id).encode())
         first = int(received.headers.get("last-event-id", "0")) + 1
         stream_id = received.headers.get("resumes", request_id)
         events = expected_events(stream_id, first, self.version)
@@ -155,6 +204,10 @@
             # Together with sound events, as a chunk holds what was written at once.
             wrong = events[-1].replace(f"id: {N_EVENTS}".encode(), b"id: 99")
             events = [b"".join([*events[:-1], wrong])]
+        if fault is _StreamFault.WRONG_BYTE and events:
+            await self._write_wrong_byte(writer, head, events)
+            return
+        writer.write(head)
         for number, event in enumerate(events):
             if number == 3 and fault is _StreamFault.CUT:
                 writer.write(b"%x\r\n" % len(event) + event[:5])
@@ -168,6 +221,18 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(b"0\r\n\r\n")
 
+    async def _write_wrong_byte(
+        self, writer: asyncio.StreamWriter, head: bytes, events: list[bytes]
+    ) -> None:
+        """Write an answer with one wrong byte, some events at a time."""
+        n = self._rng.randint(1, len(events))
+        chunks = [b"".join(events[i : i + n]) for i in range(0, len(events), n)]
+        pieces = [b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks]
+        for piece in spoil([head + pieces[0], *pieces[1:], b"0\r\n\r\n"], self._rng):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+
     async def _write_foreign_bytes(self, writer: asyncio.StreamWriter) -> None:
         """Write bytes that are no events until the router closes the connection."""
         while not writer.transport.is_closing():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,9 +1,11 @@
 """Short soak runs, and tests of the soak's ledger."""
 
 import asyncio
+from random import Random
 
 import pytest
 
+from tests.soak.endpoints import STREAM_HEAD, spoil
 from tests.soak.ledger import Ledger, expected_body, expected_events
 from tests.soak.runner import run_seed
 
@@ -129,3 +131,17 @@
         ledger.violations.clear()
         check()
         assert bool(ledger.violations) is is_violation
+
+
+def test_each_byte_outside_the_text_may_be_spoilt():
+    head = STREAM_HEAD.format(id="r").encode()
+    events = expected_events("r", 7, "v1")
+    pieces = [head, *(b"%x\r\n%s\r\n" % (len(e), e) for e in events), b"0\r\n\r\n"]
+    data, rng = b"".join(pieces), Random(1)
+    positions = set()
+    for _ in range(6000):
+        spoilt = b"".join(spoil(pieces, rng))
+        (at,) = [n for n in range(len(data)) if data[n] != spoilt[n]]
+        positions.add(at)
+    text = {data.index(f"v1 r/{n}".encode()) + i for n in (7, 8) for i in range(6)}
+    assert positions == set(range(len(data))) - text
