Leave an endless body that comes slowly for another upstream

Callers of idempotent requests waited until their deadline for a body without length that comes without end, unless 4 MB of it came sooner.

A body without framing may take a third of the time left at its head; then an idempotent request runs elsewhere, if another upstream and the budget allow it.

test_an_endless_body_that_comes_slowly_is_left_for_another_upstream failed at 0.4 MB/s on the sources before, and passes.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -33,6 +33,8 @@
 # Until a request asks again whether it may be taken from a silent upstream.
 ABANDON_CHECK_S = 0.2
 WITHDRAWN_DETAIL = "withdrawn, as a part of its prompt may have crashed an engine"
+# Part of the time left that a body without framing may take, as it may have no end.
+UNFRAMED_TIME_RATIO = 1 / 3
 MAX_BODY_BYTES = 4_194_304  # largest body allowed in either direction
 
 
@@ -226,6 +228,7 @@
     async def _read_body(self, conn: Connection) -> bytes:
         parts: list[bytes] = []
         n_bytes = 0
+        limit_at = self._clock() + self._remaining_s() * UNFRAMED_TIME_RATIO
         while True:
             due_at = self._clock() + self._timeouts.body_s
             data = await self._read(conn.read_body_part, due_at)
@@ -237,6 +240,11 @@
                     FailureKind.GARBLED, f"answer too large: {n_bytes} bytes read"
                 )
             parts.append(data)
+            if not conn.is_framed and self._clock() > limit_at and self._may_leave():
+                raise Failure(FailureKind.GARBLED, "body without length goes on")
+
+    def _may_leave(self) -> bool:
+        return self._req.may_repeat and self._may_abandon()
 
     async def _skip_body(self, conn: Connection) -> None:
         """Read the body of a refusal, so that the connection may be used again."""
--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -138,6 +138,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the head of the answer tells how the body ends."""
+        return self._has_framing
+
     def send(self, request_id: str, data: bytes, has_no_body: bool = False) -> None:
         """Send a request.
 
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -56,9 +56,10 @@
         n_ended: Exchanges that the router ended.
     """
 
-    def __init__(self, start: str, block: bytes) -> None:
+    def __init__(self, start: str, block: bytes, pause_s: float = PAUSE_S) -> None:
         self._start = start
         self._block = block
+        self._pause_s = pause_s
         self.n_written = 0
         self.n_ended = 0
 
@@ -71,7 +72,7 @@
                 writer.write(self._block)
                 self.n_written += len(self._block)
                 await writer.drain()
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(self._pause_s)
         except ConnectionError:
             self.n_ended += 1
             raise
@@ -120,6 +121,21 @@
     _run_check([responder, _serve], check)
 
 
+# Guards against a body that reaches its limit of bytes only after the caller has left.
+@pytest.mark.parametrize("pause_s", [0.003, 0.02])
+def test_an_endless_body_that_comes_slowly_is_left_for_another_upstream(pause_s):
+    responder = EndlessResponder(*RESPONSES["a_body_without_length"], pause_s)
+
+    async def check(harness: GatewayHarness) -> None:
+        # Either upstream may get the first attempt.
+        for _ in range(2):
+            status, _, body, whole = await harness.call("/look/a")
+            assert (status, body, whole) == (200, b"hello", True)
+        await _wait_until_ended(responder)
+
+    _run_check([responder, _serve], check)
+
+
 @pytest.mark.parametrize("kind", STREAMS)
 def test_an_endless_stream_without_events_is_cut(kind):
     responder = EndlessResponder(*STREAMS[kind])
