Test any byte of a whole answer at the gateway, in reads of random sizes

The tests of this class took the connection and the events apart. Three seeded runs send 400 requests each through a gateway to upstreams that spoil one byte in 15 of 100 answers, streams and plain bodies, and write them in pieces.

--- a/tests/gateway/test_wrong_bytes_in_answers.py
+++ b/tests/gateway/test_wrong_bytes_in_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from random import Random
 
 import pytest
 from hypothesis import given, settings
@@ -11,7 +12,13 @@
 from chicorylead.upstream.connection import Connection, Failure
 from tests.gateway.fakes import ReceivedRequest
 from tests.gateway.test_fuzz import FakeTransport
-from tests.gateway.test_gateway import GatewayHarness, Writer, _run_check
+from tests.gateway.test_gateway import (
+    GatewayHarness,
+    Writer,
+    _event,
+    _run_check,
+)
+from tests.soak.endpoints import spoil
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nChicorylead-Response-Seal: 1.2\r\nContent-Type: text/plain\r\n"
@@ -20,6 +27,9 @@
 # Texts that the parser may take for line ends, headers or the end of a head.
 LINES = b"first: 1\r\nsecond: 2\r\n\r\n"
 LONG = b"hello, this is a body\r\n"
+N_EVENTS = 8
+N_CALLS = 400
+SPOILT_RATIO = 0.15  # far more than upstreams in trouble spoil
 BYTES = b"\x00\t\n\r !,-.0123456789:;AafxZz\x7f\xff"
 
 
@@ -227,3 +237,63 @@
 
     _run_check([script, script], check)
     assert len(n_runs) == 1
+
+
+class _SpoilingUpstream:
+    """Spoils one byte of some answers, and writes all in pieces of random sizes."""
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self.n_spoilt = 0
+
+    async def __call__(self, got: ReceivedRequest, writer: Writer) -> None:
+        """Answer one request."""
+        request_id = got.headers["chicorylead-attempt-id"].encode()
+        head = HEAD.replace(b"Id: r", b"Id: " + request_id)
+        pieces = [head + b"Content-Length: %d\r\n\r\n" % len(LONG) + LONG]
+        # The rest of a body that comes after its end, in another read, is not noticed.
+        n_at_once = len(LONG)
+        if got.target.startswith("/revise/"):
+            first = int(got.headers.get("last-event-id", "0")) + 1
+            events = [_event(number) for number in range(first, N_EVENTS + 1)]
+            chunks = [b"%x\r\n%s\r\n" % (len(event), event) for event in events]
+            head += b"Transfer-Encoding: chunked\r\n\r\n"
+            pieces = [head, *chunks, b"0\r\n\r\n"]
+            n_at_once = 1
+        if self._rng.random() < SPOILT_RATIO:
+            self.n_spoilt += 1
+            pieces = spoil(pieces, self._rng)
+        data = b"".join(pieces)
+        while data:
+            size = self._rng.randint(1, len(data))
+            if len(data) - size < n_at_once:
+                size = len(data)
+            writer.write(data[:size])
+            data = data[size:]
+            await writer.drain()
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_wrong_byte_reaches_a_caller_in_a_whole_answer(seed):
+    rng = Random(seed)
+    upstream = _SpoilingUpstream(rng)
+    stream = b"".join(_event(number) for number in range(1, N_EVENTS + 1))
+    n_whole = []
+
+    async def send(harness: GatewayHarness, number: int) -> None:
+        await asyncio.sleep(number * 0.008)
+        path, text = rng.choice((("/revise/a", stream), ("/look/a", LONG)))
+        status, _, body, is_whole = await harness.call(
+            path, chicorylead_attempt_id=f"seed{seed}-{number:05}"
+        )
+        if status == 200 and is_whole:
+            n_whole.append(number)
+            assert body == text
+
+    async def check(harness: GatewayHarness) -> None:
+        await asyncio.gather(*(send(harness, number) for number in range(N_CALLS)))
+
+    _run_check([upstream] * 3, check)
+    assert upstream.n_spoilt > N_CALLS * SPOILT_RATIO / 2
+    assert len(n_whole) > N_CALLS / 2
