Do not use a connection again once a second answer has begun

Read once more: where a read ended with the first bytes of a second answer, the change of the answer's end left the connection open for the next request, whose answer would have been read together with them and failed as garbled.

The connection is not used again, as before that change.

--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -309,6 +309,7 @@
     def on_message_begin(self) -> None:
         """Start an answer."""
         if self._state is _State.DONE:
+            self._must_close = True
             return
         self._headers = []
         self._has_framing = False
@@ -317,9 +318,7 @@
 
     def on_status(self, status: bytes) -> None:
         """Recognise a second answer to the same request."""
-        if self._state is _State.DONE:
-            self._has_second_answer = True
-            self._must_close = True
+        self._has_second_answer = self._state is _State.DONE
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header line."""
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -105,3 +105,18 @@
         assert len(connections) == n_before
 
     _run_check([script], check)
+
+
+# Guards against a next answer that is read together with what was left of this one.
+def test_a_connection_with_the_start_of_a_second_answer_is_not_used_again():
+    async def main() -> None:
+        conn = Connection(decode_answer)
+        conn.connection_made(FakeTransport())
+        conn.send("r", b"GET / HTTP/1.1\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nChicorylead-Attempt-Id: r\r\n"
+        conn.data_received(head + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nHT")
+        assert await conn.read_body_part(0.0) is None
+        conn.finish()
+        assert not conn.is_reusable
+
+    asyncio.run(main())
