Pass on no promise of "not run" that an upstream does not state

An idempotent request ran, broke off, and the 503 of its second upstream, whose statement had a wrong byte, reached the caller.

Cause: the check of such statuses held for requests that may run once only. It holds for all now: such an answer is garbled, an idempotent request runs elsewhere, and the caller gets 502 at last. The soak's run kept no logs, so that this way is likely and not shown.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -202,8 +202,8 @@
             return NotRun(f"status {head.status}", was_received=True)
         if head.is_success and not head.is_sealed:
             raise Failure(FailureKind.GARBLED, "successful answer without a seal")
-        if head.is_unproved_refusal and not req.may_repeat:
-            detail = f"status {head.status} of a request that may have run"
+        if head.is_unproved_refusal:
+            detail = f"status {head.status} without a statement"
             raise Failure(FailureKind.GARBLED, detail)
         if not req.operation.is_stream or not head.is_success:
             return await self._forward_body(conn, head)
--- a/tests/gateway/test_unproved_refusals.py
+++ b/tests/gateway/test_unproved_refusals.py
@@ -49,3 +49,25 @@
         assert (answer[0], answer[2]) == (int(status[:3]), b"no")
 
     _run_check([_script(status, False)], check)
+
+
+# Guards against a promise in the last of several runs, found by seed 42 of the soak.
+@pytest.mark.parametrize("path", ["/look/a", "/revise/a"])
+@pytest.mark.parametrize("status", STATUSES)
+def test_an_idempotent_request_that_has_run_is_not_reported_as_not_run(status, path):
+    n_runs = []
+    refuse = _script(status, False)
+
+    async def script(got: ReceivedRequest, writer: Writer) -> None:
+        n_runs.append(got.number)
+        if len(n_runs) == 1:
+            writer.transport.abort()
+        else:
+            await refuse(got, writer)
+
+    async def check(harness: GatewayHarness) -> None:
+        answer = await harness.call(path)
+        assert answer[0] == 502
+
+    _run_check([script, script], check)
+    assert len(n_runs) == 2
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,8 +10,9 @@
 from tests.soak.runner import run_seed
 
 # Seeds that have failed are kept for good, each with its cause. Seeds 1 and 2 run so
-# that every kind of path is exercised.
-SEEDS = (1, 2)
+# that every kind of path is exercised; 42: an upstream's 503 without its statement,
+# after another one had run the request, was passed on.
+SEEDS = (1, 2, 42)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
