--- a/src/chicorylead/upstream/events.py
+++ b/src/chicorylead/upstream/events.py
@@ -31,6 +31,10 @@
     may repeat some. The number of the first event of a stream is confirmed by the next
     event, or by another run that begins with it, unless it is `FIRST_ID`.
 
+    Args:
+        last_id: Id after which the stream goes on; None for a new stream.
+        event_format: Reads the ids of events; by default of standard fields alone.
+
     Attributes:
         last_id: Id of the last event passed on; None before the first.
         n_events: Events passed on.
