--- a/review/shared-2/standins.py
+++ b/review/shared-2/standins.py
@@ -264,6 +264,7 @@
         self.service = service
         self.version = version
         self.slots = options.get("slots", 64)
+        self.n_queued = options.get("n_queued", 0)  # that may wait for a slot
         self.n_events = options.get("n_events", 80)
         self.event_s = options.get("event_s", 0.1)
         self.work_s = options.get("work_s", 0.09)
@@ -277,6 +278,8 @@
 
     async def start(self):
         """Start, or start again under the same id, and register."""
+        self._free_slots = asyncio.Semaphore(self.slots)
+        self.n_running = 0
         await self.listen()
         self.is_up = True
         self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
@@ -322,7 +325,9 @@
     async def handle(self, method, target, headers, reader, writer):
         length = int(headers.get("content-length", 0))
         body = await reader.readexactly(length) if length else b""
-        load = f"Chicorylead-Instance-Load: {self.n_running},0,{self.slots}\r\n"
+        n_running = min(self.n_running, self.slots)
+        n_waiting = self.n_running - n_running
+        load = f"Chicorylead-Instance-Load: {n_running},{n_waiting},{self.slots}\r\n"
         if target == "/healthz":
             writer.write(
                 (
@@ -343,7 +348,7 @@
                 ).encode()
             )
             return True
-        if self.n_running >= self.slots:
+        if self.n_running >= self.slots + self.n_queued:
             writer.write(
                 (
                     f"HTTP/1.1 503 X\r\n{common}Chicorylead-Not-Executed: 1\r\n"
@@ -360,18 +365,15 @@
             "n_body": len(body),
             "is_whole": False,
         }
-        self.runs.append(run)
-        self.record.write("run_begins", **run)
         self.n_running += 1
         try:
-            seal = f"Chicorylead-Response-Seal: 1.{self.name}.{len(self.runs)}\r\n"
-            if target.startswith("/talk/"):
-                await self._stream(run, common + seal, writer)
-            else:
-                await self._plain(common + seal, reader, writer)
+            async with self._free_slots:
+                self.runs.append(run)
+                self.record.write("run_begins", **run)
+                await self._run(target, run, common, reader, writer)
             run["is_whole"] = True
         finally:
-            self.n_running -= 1
+            self.n_running = max(0, self.n_running - 1)
             self.record.write(
                 "run_ends",
                 attempt=attempt,
@@ -380,6 +382,13 @@
             )
         return True
 
+    async def _run(self, target, run, common, reader, writer):
+        seal = f"Chicorylead-Response-Seal: 1.{self.name}.{len(self.runs)}\r\n"
+        if target.startswith("/talk/"):
+            await self._stream(run, common + seal, writer)
+        else:
+            await self._plain(common + seal, reader, writer)
+
     async def _plain(self, head, reader, writer):
         await asyncio.sleep(self.work_s)
         if reader.at_eof():
