--- a/review/shared-2/standins.py
+++ b/review/shared-2/standins.py
@@ -363,7 +363,6 @@
             "born": self.born_ms,
             "after": headers.get("last-event-id"),
             "n_body": len(body),
-            "body": body[:64],
             "is_whole": False,
         }
         self.n_running += 1
