Tell two other routers where each stream begins, and ask them

Cause: a stream was told to other routers only while several versions served as it began. What others needed to know is decided when it is taken up; in between its router may be lost and another version may come. What stood in for that knowledge, the proof that one version alone served, takes 20 s of quiet records and ends with the first entry of another version.

Change: each stream is told to two witnesses, found by a hash of its id on a ring of the ready routers and in two zones, before its first event is forwarded; nobody waits. A router that does not know a stream asks them, then all. Witnesses that are replaced are told of the streams under way, a router that stops hands over what it remembers, and a refusal is final only if all live routers have answered. Nothing is guessed: a router goes on at a version that somebody remembers, or refuses as before.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -40,6 +40,7 @@
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.gateway.stream_journal import StreamJournal
+from chicorylead.gateway.stream_witnesses import StreamWitnesses
 from chicorylead.http_protocol import HttpLimits
 from chicorylead.http_server import HttpServer
 from chicorylead.ids import RegionName, RouterId, ServiceName, ZoneName
@@ -235,8 +236,19 @@
         self._notices.on_urgent_news = self._peers.queue_notices
         self._cold.on_news = self._peers.queue_claims
         self._quarantine.on_news = self._peers.queue_prompt_report
+        origins = StreamOrigins(self._clock)
+        witnesses = StreamWitnesses(
+            origins,
+            self._live_peers,
+            self._peers.heard_routers,
+            self._peers.send_streams,
+            self._clock,
+            self._metrics,
+        )
+        self._router.on_streams = witnesses.handle
         self._journal = StreamJournal(
-            StreamOrigins(self._clock),
+            origins,
+            witnesses,
             self._registry,
             self._followers[Stream.UPSTREAMS],
             StreamLog(self._store, self.log),
@@ -245,8 +257,6 @@
             self.log,
             self._metrics,
         )
-        self._journal.on_begun = self._peers.send_streams
-        self._router.on_streams = self._journal.learn
         self._permits = Permits(
             cfg.id, self._state_peer_ids, self._cold.shares, self._clock
         )
@@ -403,6 +413,7 @@
         self.log.info("drain_begins", in_flight=self._ingress.n_in_flight)
         self._is_draining = True
         self._update_readiness()
+        self._journal.hand_over()
         ends_at = started + DRAIN_END_FRACTION * self._cfg.bounds.shutdown_s
         await asyncio.sleep(DRAIN_SERVE_S)
         self._is_refusing = True
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -8,10 +8,10 @@
 from chicorylead.gateway.records_age import RecordsAge
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
+from chicorylead.gateway.stream_witnesses import StreamMessage
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import PromptQuarantine
 from chicorylead.outcome.prompt_report import PromptReport
-from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.peer.datagram import (
     Beacon,
     ColdReport,
@@ -50,7 +50,8 @@
         clock: Returns the time of the event loop, seconds.
 
     Attributes:
-        on_streams: Called with streams and the id of the peer that began them.
+        on_streams: Called with what a router tells or asks about streams, and its IP
+            address.
     """
 
     def __init__(
@@ -81,9 +82,7 @@
         self._on_news = on_news
         self._clock = clock
         self._had_state_at = float("-inf")
-        self.on_streams: Callable[[Sequence[BegunStream], str], None] = (
-            lambda streams, peer: None
-        )
+        self.on_streams: Callable[[StreamMessage, str], None] = lambda *_: None
 
     def make_presence(self, sequence: int, peers: list[str]) -> Presence:
         """Return the presence of this router."""
@@ -183,9 +182,9 @@
         self._cold.shares.apply_claims(peer, claims)
         self._cold.apply_reports(peer, cold)
 
-    def apply_streams(self, peer: str, streams: Sequence[BegunStream]) -> None:
-        """Learn of streams that a live peer began."""
-        self.on_streams(streams, peer)
+    def handle_streams(self, message: StreamMessage, sender: str) -> None:
+        """Handle what a router tells or asks about streams."""
+        self.on_streams(message, sender)
 
     def is_serving(self, peer: Peer) -> bool:
         """Return whether callers are told to use a peer."""
--- a/src/chicorylead/ids.py
+++ b/src/chicorylead/ids.py
@@ -9,6 +9,7 @@
     "IdempotencyKey",
     "Offset",
     "OrganisationId",
+    "OriginMark",
     "PromptPartId",
     "PoolName",
     "RegionName",
@@ -16,6 +17,7 @@
     "RouterId",
     "ServiceName",
     "SoftwareVersion",
+    "StreamKey",
     "TrialId",
     "UpstreamId",
     "ZoneName",
@@ -27,6 +29,7 @@
 Incarnation = NewType("Incarnation", int)
 Offset = NewType("Offset", int)
 OrganisationId = NewType("OrganisationId", str)
+OriginMark = NewType("OriginMark", bytes)
 PromptPartId = NewType("PromptPartId", bytes)
 PoolName = NewType("PoolName", str)
 RegionName = NewType("RegionName", str)
@@ -34,6 +37,7 @@
 RouterId = NewType("RouterId", str)
 ServiceName = NewType("ServiceName", str)
 SoftwareVersion = NewType("SoftwareVersion", str)
+StreamKey = NewType("StreamKey", bytes)
 TrialId = NewType("TrialId", str)
 UpstreamId = NewType("UpstreamId", str)
 ZoneName = NewType("ZoneName", str)
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -9,11 +9,11 @@
 
 from chicorylead.outcome.poison_notice import PoisonNotice
 from chicorylead.outcome.prompt_report import CrashReport
-from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.traffic.stream import KnownOperatorRecords, KnownRecords
 
 __all__ = [
     "Beacon",
+    "BegunStreams",
     "ColdReport",
     "Heartbeat",
     "NoticeReport",
@@ -22,7 +22,8 @@
     "RelayedDatagram",
     "SendReport",
     "StateDelta",
-    "StreamReports",
+    "StreamAnswer",
+    "StreamQuestion",
     "Suspicion",
     "UsageReport",
     "WorkReport",
@@ -126,11 +127,40 @@
     cold: list[ColdReport] = []
 
 
-class StreamReports(Struct, frozen=True, array_like=True, tag="v"):
-    """Streams that one router began while several software versions serve."""
+class BegunStreams(Struct, frozen=True, array_like=True, tag="w"):
+    """Tells a witness where streams began.
 
-    incarnation: int
-    streams: list[BegunStream]
+    It has neither an incarnation nor a sequence, as where a stream began does not
+    change.
+
+    Attributes:
+        streams: Of each, its key and the mark of its origin
+            (`chicorylead.outcome.stream_origins`), one after the other.
+    """
+
+    streams: list[bytes]
+
+
+class StreamQuestion(Struct, frozen=True, array_like=True, tag="k"):
+    """Asks where streams began.
+
+    Attributes:
+        keys: Keys of the streams.
+    """
+
+    keys: list[bytes]
+
+
+class StreamAnswer(Struct, frozen=True, array_like=True, tag="a"):
+    """Answers a question.
+
+    Attributes:
+        streams: Those that the sender knows, as in `BegunStreams`.
+        unknown: Keys of those that it does not know for sure.
+    """
+
+    streams: list[bytes]
+    unknown: list[bytes]
 
 
 class StateDelta(Struct, frozen=True, array_like=True, tag="s"):
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -26,10 +26,10 @@
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
 from chicorylead.outcome.prompt_report import PromptReport
-from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.peer.confirmation import Confirmation
 from chicorylead.peer.datagram import (
     Beacon,
+    BegunStreams,
     ColdReport,
     Heartbeat,
     NoticeReport,
@@ -38,7 +38,8 @@
     RelayedDatagram,
     SendReport,
     StateDelta,
-    StreamReports,
+    StreamAnswer,
+    StreamQuestion,
     Suspicion,
     UsageReport,
     WorkReport,
@@ -80,7 +81,6 @@
 DELTA_DELAY_PER_PEER_S = 0.001  # batches the sends of a few milliseconds
 NOTICE_DELAY_S = 0.002  # batches the answers of upstreams that are limited together
 NOTICES_PER_DATAGRAM = 25  # below the size at which networks split datagrams
-STREAMS_PER_DATAGRAM = 25  # below the size at which networks split datagrams
 PROMPT_REPORT_DELAY_S = 0.002  # batches the requests that break in one crash
 # Of each prompt report: a router that misses it sends such prompts to engines until
 # the next beacon.
@@ -181,8 +181,15 @@
     ) -> None:
         """Apply the claims of a live peer, and what it observed of upstreams."""
 
-    def apply_streams(self, peer: str, streams: Sequence[BegunStream]) -> None:
-        """Learn of streams that a live peer began."""
+    def handle_streams(
+        self, message: BegunStreams | StreamQuestion | StreamAnswer, sender: str
+    ) -> None:
+        """Handle what a router tells or asks about streams.
+
+        Args:
+            message: The message.
+            sender: IP address of the router, which need not be a known peer.
+        """
 
     def is_serving(self, peer: Peer) -> bool:
         """Return whether callers are told to use a peer."""
@@ -260,13 +267,15 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
             Beacon
+            | BegunStreams
             | Heartbeat
             | NoticeReports
             | Presence
             | PromptReport
             | RelayedDatagram
             | StateDelta
-            | StreamReports
+            | StreamAnswer
+            | StreamQuestion
             | Suspicion
         )
 
@@ -557,12 +566,15 @@
             repeated.n_left -= 1
         self._repeated_reports = [r for r in self._repeated_reports if r.n_left > 0]
 
-    def send_streams(self, streams: Sequence[BegunStream]) -> None:
-        """Tell the peers that serve callers of streams that began here."""
-        for first in range(0, len(streams), STREAMS_PER_DATAGRAM):
-            part = list(streams[first : first + STREAMS_PER_DATAGRAM])
-            message = StreamReports(self._incarnation, part)
-            self._broadcast(self._encoder.encode(message))
+    def send_streams(
+        self,
+        hosts: Iterable[str],
+        message: BegunStreams | StreamQuestion | StreamAnswer,
+    ) -> None:
+        """Tell or ask routers about streams."""
+        data = self._encoder.encode(message)
+        for host in hosts:
+            self._send_to(host, data)
 
     def queue_notices(self) -> None:
         """Tell all live peers what upstreams stated, some milliseconds later."""
@@ -715,8 +727,8 @@
                 self._handle_relayed(message, origin)
             case StateDelta():
                 self._handle_delta(message, origin)
-            case StreamReports():
-                self._handle_streams(message, origin)
+            case BegunStreams() | StreamQuestion() | StreamAnswer():
+                self._router.handle_streams(message, origin)
             case Suspicion():
                 self._handle_suspicion(message, origin)
 
@@ -779,13 +791,6 @@
                     peer.presence.id, reports.claims, reports.cold
                 )
 
-    def _handle_streams(self, reports: StreamReports, sender: str) -> None:
-        peer = self._members.by_host(sender)
-        if peer is None or not peer.is_live:
-            return
-        if peer.presence.incarnation == reports.incarnation:
-            self._router.apply_streams(peer.presence.id, reports.streams)
-
     def _handle_suspicion(self, suspicion: Suspicion, sender: str) -> None:
         """Probe a router that a peer suspects to be lost."""
         teller = self._members.by_host(sender)
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -90,21 +90,15 @@
             and not upstream.intake.is_leaving
         ]
 
-    def versions_since(
-        self, service: ServiceName, since: float
-    ) -> set[SoftwareVersion]:
-        """Return the software versions of a service that served after a time.
+    def origins_since(self, since: float) -> set[tuple[ServiceName, SoftwareVersion]]:
+        """Return the services that served after a time, with their software versions.
 
         Args:
-            service: The service.
             since: Event-loop time, seconds.
         """
-        serving = {u.entry.version for u in self._of(service)}
-        return serving | {
-            version
-            for (name, version), left_at in self._version_left_at.items()
-            if name == service and left_at >= since
-        }
+        serving = {(u.entry.service, u.entry.version) for u in self._live.values()}
+        left = self._version_left_at.items()
+        return serving | {origin for origin, left_at in left if left_at >= since}
 
     def oldest_born_ms(self, service: ServiceName) -> int | None:
         """Return when the oldest upstream of a service started, if any tells it."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -100,6 +100,18 @@
     assert ledger.violations
 
 
+@pytest.mark.parametrize(
+    ("n_gone_on", "n_taken_up", "n_begun", "is_violation"),
+    [(5, 12, 12, True), (6, 12, 12, False), (0, 11, 12, False), (0, 12, 0, False)],
+)
+def test_the_ledger_detects_streams_that_do_not_go_on(
+    n_gone_on, n_taken_up, n_begun, is_violation
+):
+    ledger = Ledger()
+    ledger.check_taken_up(n_gone_on, n_taken_up, n_begun, 12)
+    assert bool(ledger.violations) is is_violation
+
+
 @pytest.mark.parametrize(
     ("after_s", "router", "is_violation"),
     [(2.1, 1, True), (1.9, 1, False), (2.1, 2, False)],
