Prove a sole version by entries read since the take-up came

What callers could see: a stream of two software versions, joined over two tries.

Cause: a stream that nobody remembers goes on if the entries of upstreams show a single version, and entries counted as current if they were so 0.1 s ago, or if a peer said so. A router may begin a stream at a version that was listed some milliseconds ago and be lost, and its stream be taken up, within that time.

Change: only entries that this router has read from the store itself count, in a read that began after the take-up had come. What began before was listed before, so that the read shows it. Take-ups that come together share a read.

A take-up of a stream that nobody knows costs a read of the store, ten a second at most, as before for entries older than 0.1 s.

--- a/src/chicorylead/gateway/stream_journal.py
+++ b/src/chicorylead/gateway/stream_journal.py
@@ -230,7 +230,7 @@
         return ServingVersions(
             lately,
             self._is_complete(service, self._clock()) and not is_told_of_another,
-            self._clock() - self._entries.current_at <= READ_INTERVAL_S,
+            self._entries_read_at >= asked_at,
             self._has_read_log,
         )
 
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -481,6 +481,37 @@
     asyncio.run(main())
 
 
+class _SlowEntries(_Entries):
+    """Entries that are not read before `may_read` is set."""
+
+    def __init__(self, **ages: float) -> None:
+        super().__init__(**ages)
+        self.has_begun = asyncio.Event()
+        self.may_read = asyncio.Event()
+
+    async def check(self) -> None:
+        self.has_begun.set()
+        await self.may_read.wait()
+        await super().check()
+
+
+def test_a_read_that_began_before_a_take_up_came_proves_nothing_for_it():
+    async def main() -> None:
+        registry = _Registry("v1")
+        entries = _SlowEntries(continuous_s=2 * MEMORY_S)
+        journal = _journal(registry, _Log(), entries=entries)
+        first = asyncio.ensure_future(journal.pin(_request("x", resumes="y")))
+        await asyncio.wait_for(entries.has_begun.wait(), 2.0)
+        asyncio.get_running_loop().call_later(0.05, entries.may_read.set)
+        # Listed while the first read is under way, which does not show it any more.
+        entries.on_check = lambda: entries.n_checks > 1 and registry.versions.add("v2")
+        await _refusal(journal, "first")
+        assert (await first).version == "v1"
+        assert entries.n_checks == 2
+
+    asyncio.run(main())
+
+
 # Guards against proofs from records that a router had before it was cut off.
 def test_a_router_without_current_entries_proves_no_sole_version():
     async def main() -> None:
@@ -498,10 +529,13 @@
     asyncio.run(main())
 
 
-def test_entries_that_are_checked_for_a_take_up_show_a_second_version():
+# Guards against a stream that another router began at a version which was listed some
+# milliseconds ago, and that is taken for one of the version that this router knows.
+@pytest.mark.parametrize("age_s", [0.0, 0.5])
+def test_entries_that_are_checked_for_a_take_up_show_a_second_version(age_s):
     async def main() -> None:
         registry = _Registry("v1")
-        entries = _Entries(age_s=0.5, continuous_s=2 * MEMORY_S)
+        entries = _Entries(age_s, continuous_s=2 * MEMORY_S)
         entries.on_check = lambda: registry.versions.add("v2")
         journal = _journal(registry, _Log(), entries=entries)
         assert (await _refusal(journal, "first")).retry_after_s is None
