Judge more streams in the soak, at sound upstreams

Cause: in the soak's loss of a router, streams of a version that a single upstream serves don't count, and new upstreams ran in the time without faults with the fault ratio of the time before.

Change: no version is left with a single upstream before the streams begin; upstreams that are added after the faults have none; while the streams are taken up all upstreams say that they run 64 requests at once, as 24 slow streams and 24 new ones are more than four take with 8.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,7 +19,7 @@
     registry_entry,
 )
 from tests.soak.endpoints import Caller, SoakUpstream
-from tests.soak.ledger import RELEASE_VERSION, VERSIONS, Ledger
+from tests.soak.ledger import VERSIONS, Ledger
 
 __all__ = ["COLD_PER_S", "GatewayProcess", "SoakFleet"]
 
@@ -34,7 +34,8 @@
 # Of upstreams that start while requests come, in seconds and requests a second.
 COLD_S = 4.0
 COLD_PER_S = 4.0
-SLOTS = 64  # of an upstream, so that no stream waits
+FAULT_RATIO = 0.08  # of the requests to an upstream
+N_SLOTS = 8  # requests that an upstream says it runs at once
 ODD_DEPTH = 1200  # nested deeper than a decoder follows
 
 
@@ -166,6 +167,8 @@
         self._n_upstreams = n_upstreams
         self._upstreams: dict[str, FakeUpstream] = {}
         self._scripts: dict[str, SoakUpstream] = {}
+        self._fault_ratio = FAULT_RATIO
+        self._n_slots = N_SLOTS
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
         self._restarts: set[asyncio.Task[None]] = set()
@@ -228,17 +231,17 @@
 
     # -- upstreams
 
-    async def add_upstream(self, is_release: bool = False) -> None:
+    async def add_upstream(self, version: str | None = None) -> None:
         """Start an upstream and add it to the registry.
 
         Args:
-            is_release: Whether its software is newer than that of all others.
+            version: Version of its software; None for any.
         """
         name = f"u{len(self._scripts)}"
         rng = Random(self._rng.random())
-        version = RELEASE_VERSION if is_release else self._rng.choice(VERSIONS)
+        version = version or self._rng.choice(VERSIONS)
         script = SoakUpstream(
-            name, version, self.ledger, rng, 0.08, self._crash_upstream
+            name, version, self.ledger, rng, self._fault_ratio, self._crash_upstream
         )
         self._scripts[name] = script
         await self._start_upstream(name, script)
@@ -252,7 +255,6 @@
         self._entries[name] = {
             "address": address,
             "born": self._born,
-            "slots": SLOTS,
             "version": script.version,
             "zone": ZONES[int(name.removeprefix("u")) % len(ZONES)],
         }
@@ -267,20 +269,32 @@
         self._sequence += 1
         cold_s = self._cold_until[name] - asyncio.get_running_loop().time()
         cold_ms = round(1000 * max(0.0, cold_s))
-        fields = {**self._entries[name], "seq": self._sequence, "coldLeftMs": cold_ms}
-        entry = registry_entry(self._upstreams[name], **fields)
+        entry = registry_entry(
+            self._upstreams[name],
+            **self._entries[name],
+            seq=self._sequence,
+            coldLeftMs=cold_ms,
+            slots=self._n_slots,
+        )
         self.store.put("keyed.servers", name, entry)
 
+    def set_slots(self, n_slots: int = N_SLOTS) -> None:
+        """Let all upstreams say how many requests they run at once."""
+        self._n_slots = n_slots
+        for name in self._upstreams.keys() & self._scripts.keys():
+            self._register(name)
+
     def n_serving(self, version: str) -> int:
         """Return the number of upstreams of a software version that serve."""
         names = self._upstreams.keys() & self._scripts.keys()
         return sum(self._scripts[name].version == version for name in names)
 
-    async def ensure_spare_upstream(self) -> None:
-        """Add upstreams until two of one version serve, and are not cold."""
+    async def ensure_spare_upstreams(self) -> None:
+        """Add upstreams until no version has a single one, and none is cold."""
         await asyncio.gather(*self._restarts)
-        while max(map(self.n_serving, VERSIONS)) < 2:
-            await self.add_upstream()
+        for version in VERSIONS:
+            if self.n_serving(version) == 1:
+                await self.add_upstream(version)
         cold_until = max(self._cold_until.values())
         await asyncio.sleep(cold_until - asyncio.get_running_loop().time())
 
@@ -319,6 +333,7 @@
         self.store.is_down = False
         self.store.is_silent = False
         self.proxy.apply(LinkRule(group="*"))
+        self._fault_ratio = 0.0
         for script in self._scripts.values():
             script.fault_ratio = 0.0
             script.limit_per_s = None
--- a/tests/soak/take_ups.py
+++ b/tests/soak/take_ups.py
@@ -8,11 +8,12 @@
 from tests.gateway.fakes import encode_request
 from tests.soak.endpoints import SLOW_TARGET
 from tests.soak.fleet import GatewayProcess, SoakFleet
-from tests.soak.ledger import Ledger
+from tests.soak.ledger import RELEASE_VERSION, Ledger
 
 __all__ = ["check_take_ups"]
 
 N_STREAMS = 24  # the users judge 12 or more, of versions with two upstreams
+N_SLOTS = 64  # of an upstream, so that no stream waits for others
 N_TRIES = 4
 TRY_PAUSE_S = 0.4
 DEADLINE_MS = 9000
@@ -131,7 +132,8 @@
     lost, asked, *others = rng.sample(fleet.routers, len(fleet.routers))
     also_lost = others[: plan.n_also_lost]
     ledger = fleet.ledger
-    await fleet.ensure_spare_upstream()
+    fleet.set_slots(N_SLOTS)
+    await fleet.ensure_spare_upstreams()
     streams = [_Stream(f"taken-{n}", ledger) for n in range(N_STREAMS)]
     tasks = [asyncio.ensure_future(stream.read(lost)) for stream in streams]
     await _wait_until_begun(streams)
@@ -142,14 +144,14 @@
         await fleet.wait_until_answers(asked, START_S)
         await asyncio.sleep(STABLE_S)
     if plan.release == "before":
-        await fleet.add_upstream(is_release=True)
+        await fleet.add_upstream(RELEASE_VERSION)
         await asyncio.sleep(rng.uniform(0.0, 0.5))
     lost.signal(signal.SIGSTOP if plan.is_frozen else signal.SIGKILL)
     for router in also_lost:
         router.signal(signal.SIGKILL)
     await asyncio.sleep(rng.uniform(0.0, 0.5))
     if plan.release == "after":
-        await fleet.add_upstream(is_release=True)
+        await fleet.add_upstream(RELEASE_VERSION)
         await asyncio.sleep(rng.uniform(0.0, 0.5))
     fleet.store.is_down = plan.is_store_down
     for task in tasks:
@@ -174,6 +176,7 @@
         if not plan.is_frozen or router is not lost:
             await router.wait(START_S)
             await router.start()
+    fleet.set_slots()
     ledger.check_taken_up(n_gone_on, len(broken), n_begun, len(new))
     return f"{plan}: {n_gone_on} of {len(broken)} went on, {n_begun} of {len(new)} new"
 
