--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -418,3 +418,22 @@
         assert await pair.count_gone_on(1, *STREAMS) == len(STREAMS)
 
     _check_young_pair(check)
+
+
+# The order of events that nothing remembers: refused, and no guess.
+def test_streams_do_not_go_on_if_all_routers_are_lost_before_a_version_appears():
+    async def check(pair: _YoungPair) -> None:
+        await pair.begin(0, *STREAMS)
+        await asyncio.gather(pair.lose(0), pair.lose(1))
+        await pair.add("new", "v2")
+        await pair.restart_all()
+        await pair.wait_for_upstreams()
+        await asyncio.sleep(0.5)
+        assert await pair.count_gone_on(1, *STREAMS) == 0
+        assert all(
+            "last-event-id" not in got.headers
+            for upstream in pair.upstreams.values()
+            for got in upstream.received
+        )
+
+    _check_young_pair(check)
--- a/tests/gateway/test_stream_witnesses.py
+++ b/tests/gateway/test_stream_witnesses.py
@@ -244,6 +244,22 @@
     _run(check)
 
 
+def test_a_stream_of_which_all_messages_are_lost_is_not_found_without_its_router():
+    async def check() -> None:
+        fleet = _Fleet(3)
+        fleet.loss = 1.0
+        fleet.routers["10.0.0.0"].begin(0)
+        await _pass_on()
+        fleet.loss = 0.0
+        assert await fleet.count_found(1) == 1
+        fleet.start("10.0.0.1", "z1", incarnation=2)
+        fleet.start("10.0.0.2", "z2", incarnation=2)
+        fleet.down.add("10.0.0.0")
+        assert await fleet.count_found(1) == 0
+
+    _run(check)
+
+
 def test_streams_are_found_over_paths_that_lose_messages():
     async def check() -> None:
         fleet = _Fleet(30)
