--- a/tests/soak/take_ups.py
+++ b/tests/soak/take_ups.py
@@ -177,6 +177,7 @@
             await router.wait(START_S)
             await router.start()
     fleet.set_slots()
+    await asyncio.sleep(STABLE_S)
     ledger.check_taken_up(n_gone_on, len(broken), n_begun, len(new))
     return f"{plan}: {n_gone_on} of {len(broken)} went on, {n_begun} of {len(new)} new"
 
