Split the soak's check of a lost router into its steps

The check was one function of fifty lines; restart, loss and return have their own now, and the upstreams' slots go back before the routers settle.

--- a/tests/soak/take_ups.py
+++ b/tests/soak/take_ups.py
@@ -16,6 +16,7 @@
 N_SLOTS = 64  # of an upstream, so that no stream waits for others
 N_TRIES = 4
 TRY_PAUSE_S = 0.4
+MAX_PAUSE_S = 0.5  # between a loss and the versions that appear
 DEADLINE_MS = 9000
 FIRST_EVENT_S = 3.0
 STABLE_S = 3.0
@@ -131,29 +132,14 @@
     plan = _draw_plan(rng, len(fleet.routers))
     lost, asked, *others = rng.sample(fleet.routers, len(fleet.routers))
     also_lost = others[: plan.n_also_lost]
-    ledger = fleet.ledger
     fleet.set_slots(N_SLOTS)
     await fleet.ensure_spare_upstreams()
-    streams = [_Stream(f"taken-{n}", ledger) for n in range(N_STREAMS)]
+    streams = [_Stream(f"taken-{n}", fleet.ledger) for n in range(N_STREAMS)]
     tasks = [asyncio.ensure_future(stream.read(lost)) for stream in streams]
     await _wait_until_begun(streams)
     if plan.is_asked_restarted:
-        asked.signal(signal.SIGKILL)
-        await asked.wait(START_S)
-        await asked.start()
-        await fleet.wait_until_answers(asked, START_S)
-        await asyncio.sleep(STABLE_S)
-    if plan.release == "before":
-        await fleet.add_upstream(RELEASE_VERSION)
-        await asyncio.sleep(rng.uniform(0.0, 0.5))
-    lost.signal(signal.SIGSTOP if plan.is_frozen else signal.SIGKILL)
-    for router in also_lost:
-        router.signal(signal.SIGKILL)
-    await asyncio.sleep(rng.uniform(0.0, 0.5))
-    if plan.release == "after":
-        await fleet.add_upstream(RELEASE_VERSION)
-        await asyncio.sleep(rng.uniform(0.0, 0.5))
-    fleet.store.is_down = plan.is_store_down
+        await _restart(fleet, asked)
+    await _lose(fleet, rng, plan, lost, also_lost)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -163,23 +149,63 @@
         for stream in streams
         if stream.has_begun.is_set() and fleet.n_serving(stream.version.decode()) >= 2
     ]
-    new = [_Stream(f"new-{n}", ledger) for n in range(N_STREAMS)]
+    new = [_Stream(f"new-{n}", fleet.ledger) for n in range(N_STREAMS)]
     results = await asyncio.gather(
         *(stream.take_up(asked) for stream in broken),
         *(stream.read(asked) for stream in new),
     )
     n_gone_on = sum(results[: len(broken)])
     n_begun = sum(results[len(broken) :])
+    await _bring_back(fleet, plan, lost, also_lost)
+    fleet.ledger.check_taken_up(n_gone_on, len(broken), n_begun, len(new))
+    return f"{plan}: {n_gone_on} of {len(broken)} went on, {n_begun} of {len(new)} new"
+
+
+async def _restart(fleet: SoakFleet, router: GatewayProcess) -> None:
+    """Kill a router, and wait until it has run for some time again."""
+    router.signal(signal.SIGKILL)
+    await router.wait(START_S)
+    await router.start()
+    await fleet.wait_until_answers(router, START_S)
+    await asyncio.sleep(STABLE_S)
+
+
+async def _lose(
+    fleet: SoakFleet,
+    rng: Random,
+    plan: _Plan,
+    lost: GatewayProcess,
+    also_lost: list[GatewayProcess],
+) -> None:
+    """Stop or kill routers, with what the plan has before and after that."""
+    if plan.release == "before":
+        await fleet.add_upstream(RELEASE_VERSION)
+        await asyncio.sleep(rng.uniform(0.0, MAX_PAUSE_S))
+    lost.signal(signal.SIGSTOP if plan.is_frozen else signal.SIGKILL)
+    for router in also_lost:
+        router.signal(signal.SIGKILL)
+    await asyncio.sleep(rng.uniform(0.0, MAX_PAUSE_S))
+    if plan.release == "after":
+        await fleet.add_upstream(RELEASE_VERSION)
+        await asyncio.sleep(rng.uniform(0.0, MAX_PAUSE_S))
+    fleet.store.is_down = plan.is_store_down
+
+
+async def _bring_back(
+    fleet: SoakFleet,
+    plan: _Plan,
+    lost: GatewayProcess,
+    also_lost: list[GatewayProcess],
+) -> None:
+    """Undo the losses, and wait until the routers are settled."""
     fleet.store.is_down = False
-    lost.signal(signal.SIGCONT)
-    for router in (lost, *also_lost):
-        if not plan.is_frozen or router is not lost:
-            await router.wait(START_S)
-            await router.start()
     fleet.set_slots()
+    lost.signal(signal.SIGCONT)
+    killed = also_lost if plan.is_frozen else [lost, *also_lost]
+    for router in killed:
+        await router.wait(START_S)
+        await router.start()
     await asyncio.sleep(STABLE_S)
-    ledger.check_taken_up(n_gone_on, len(broken), n_begun, len(new))
-    return f"{plan}: {n_gone_on} of {len(broken)} went on, {n_begun} of {len(new)} new"
 
 
 async def _wait_until_begun(streams: list[_Stream]) -> None:
