--- a/review/13/case.py
+++ b/review/13/case.py
@@ -102,15 +102,7 @@
         await deployment.start_store(configuration(routes, [SERVICE]))
         for number in range(N_RUNNERS):
             await deployment.add_runner(f"i-{number}", SERVICE, handle)
-        limits = {
-            "cpuShare": 0.817,
-            "cores": 2,
-            "memoryMb": MEMORY_MB,
-            "maxFds": 6150,
-            "linkMbps": 1500.0,
-            "diskMb": 0,
-        }
-        await deployment.start_routers(limits=limits)
+        await deployment.start_routers(memory_mb=[MEMORY_MB])
         await asyncio.sleep(STABLE_S)
         clients = [Client(deployment, deployment.routers[0]) for _ in range(N_CLIENTS)]
         for client in clients:
--- a/review/shared-3/standins.py
+++ b/review/shared-3/standins.py
@@ -443,6 +443,12 @@
         (line,) = [line for line in text.splitlines() if line.startswith("VmHWM")]
         return int(line.split()[1]) * 1024 / 1e6
 
+    def memory_mb(self) -> float:
+        """Return the memory that the process holds now, MB."""
+        text = Path(f"/proc/{self._process.pid}/status").read_text()
+        (line,) = [line for line in text.splitlines() if line.startswith("VmRSS")]
+        return int(line.split()[1]) * 1024 / 1e6
+
     async def stop(self) -> None:
         """End the process, whatever its state."""
         if self.is_running():
@@ -516,11 +522,17 @@
         await runner.start()
         return runner
 
-    async def start_routers(self, zones: list[str] = ["recife-a"], **changes) -> None:
+    async def start_routers(
+        self,
+        zones: list[str] = ["recife-a"],
+        memory_mb: list[int] = [430],
+        **changes,
+    ) -> None:
         """Start all routers at once and wait until they are ready.
 
         Args:
             zones: Zones of the routers; the last one is that of all further ones.
+            memory_mb: Memory of their machines, likewise.
             changes: Settings that differ.
         """
         ports = [self.port() for _ in range(5)]
@@ -546,7 +558,7 @@
                 "limits": {
                     "cpuShare": 0.817,
                     "cores": 2,
-                    "memoryMb": 430,
+                    "memoryMb": memory_mb[min(number, len(memory_mb) - 1)],
                     "maxFds": 6150,
                     "linkMbps": 1500.0,
                     "diskMb": 0,
