review: drop the cases that an earlier review shows

Cause: cases on prompts of many parts, on large requests that are cut off and on a restart in place under another version are those of the second review (8, 7 and 6).

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,8 @@
-"""Prompts of many small parts make the routers exceed the memory of their machines."""
+"""An entry of another writer, with fields missing, takes all requests of a service."""
 
 import asyncio
-import random
 import sys
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -12,31 +12,41 @@
     STABLE_S,
     Deployment,
     Request,
-    RouterProcess,
     Runner,
+    answer,
     call,
     configuration,
     main,
     route,
 )
 
-SERVICE = "chicory-pool"
-ZONES = ["tartu-a", "tartu-a", "tartu-b", "tallinn-a", "parnu-a"]
-MEMORY_MB = [205, 205, 260, 260, 260]
-ENGINE = {"slots": 64, "kvCapacity": 409704, "stride": 7}
-N_ENGINES = 5
-# Heads of 15 KB, where the configuration allows 16,384 bytes.
-N_PARTS = 1300
-FEW_PARTS = 3
-N_SHARED = 2
-REQUESTS_PER_S = 60.0
-RUN_S = 70.0
-N_EVENTS = 3
-# Processes that end by themselves so often, on two machines at least, break the rule.
-MAX_ENDS, MACHINES = 3, 2
-
-
-async def stream(runner: Runner, request: Request, writer) -> None:
+ENGINES, APP = "modelo-frasear", "acervo-app"
+ZONES = ["recife-a", "recife-a", "fortaleza-b", "salvador-c"]
+RUN_S = 20.0
+WORK_S = 0.06
+N_EVENTS = 5
+# Requests a second, as on the smallest site at a quarter of its traffic.
+RATES = {"revise": 20.0, "publish": 2.1, "lookup": 0.9}
+METHODS = {"revise": "POST", "publish": "POST", "lookup": "GET"}
+# Neither `coldLeftMs` nor `born`, and a name with an empty part for an address.
+ODD_ENTRY = {
+    "service": APP,
+    "address": "acervo-app..svc:8080",
+    "zone": "recife-a",
+    "version": "1.0",
+    "slots": 6,
+    "state": "ready",
+    "seq": 1,
+}
+
+
+async def serve_app(runner: Runner, request: Request, writer) -> None:
+    runner._record.write("run", runner=runner.id, id=request.id)
+    await asyncio.sleep(WORK_S)
+    writer.write(answer(request, b"entry"))
+
+
+async def serve_stream(runner: Runner, request: Request, writer) -> None:
     runner._record.write("run", runner=runner.id, id=request.id)
     writer.write(
         (
@@ -53,90 +63,74 @@
     writer.write(b"0\r\n\r\n")
 
 
-def prompt(n_parts: int) -> dict[str, str]:
-    """Return the headers of a prompt whose parts are one token each."""
-    own = [f"{random.getrandbits(32):08x}:1" for _ in range(n_parts - N_SHARED)]
-    parts = ["5c1e07a2:1", "91bd3f06:1", *own]
-    return {
-        "Chicorylead_Model": "m",
-        "Chicorylead_Token_Counts": f"{n_parts},21",
-        "Chicorylead_Prefix_Hash": ",".join(parts),
-    }
-
-
-async def one_call(deployment: Deployment, router, n_parts: int, statuses: list):
+async def one_call(
+    deployment: Deployment, number: int, kind: str, results: Counter
+) -> None:
+    router = deployment.routers[number % len(deployment.routers)]
     id = deployment.new_id()
-    deployment.record.write("sent", id=id, router=router.number)
-    reply = await call(
-        router,
-        "/proof/a",
-        id,
-        "POST",
-        b"{}",
-        timeout_s=3.0,
-        Chicorylead_Deadline_Ms="3000",
-        **prompt(n_parts),
-    )
+    body = b"" if METHODS[kind] == "GET" else id.encode()
+    deployment.record.write("sent", id=id, kind=kind, router=router.number)
+    reply = await call(router, f"/{kind}/a", id, METHODS[kind], body)
     deployment.record.write("answered", id=id, status=reply.status, whole=reply.whole)
-    statuses.append(reply.status)
-
-
-async def guard(deployment: Deployment, router: RouterProcess, ends: list[int]) -> None:
-    """End the process when it holds more than its machine has, as the platform does."""
-    while True:
-        await asyncio.sleep(0.25)
-        memory_mb = router.memory_mb()
-        if memory_mb > MEMORY_MB[router.number]:
-            ends[router.number] += 1
-            deployment.record.write(
-                "over_memory", router=router.number, mb=round(memory_mb)
-            )
-            router.signal(9)
-            await router.wait(5.0)
-            await router.start()
-            await router.wait_until_ready()
+    results[kind, reply.status if reply.whole else 0] += 1
+
+
+async def client(deployment: Deployment, kind: str, results: Counter) -> None:
+    ends_at = deployment.record.now() + RUN_S
+    calls, number = [], 0
+    while deployment.record.now() < ends_at:
+        number += 1
+        call_ = one_call(deployment, number, kind, results)
+        calls.append(asyncio.create_task(call_))
+        await asyncio.sleep(1 / RATES[kind])
+    await asyncio.gather(*calls)
 
 
 async def case(folder: Path, has_trouble: bool) -> list[str]:
     deployment = Deployment(folder, n_routers=len(ZONES))
     record = deployment.record
     try:
-        routes = [route("proof", "streaming", SERVICE, resumable=True, sticky=True)]
-        routes[0] |= {"maxAttempts": 2, "goalMs": 500}
-        cfg = configuration(routes, [SERVICE])
-        cfg["services"][0] |= {"engine": ENGINE, "maxConns": 370}
-        cfg["limits"]["tokensPerS"] = 400000
-        await deployment.start_store(cfg)
-        for number in range(N_ENGINES):
-            await deployment.add_runner(f"i-{number}", SERVICE, stream, slots=64)
-        await deployment.start_routers(ZONES, memory_mb=MEMORY_MB)
-        await asyncio.sleep(STABLE_S)
-        ends = [0] * len(ZONES)
-        statuses: list[int] = []
-        guards = [
-            asyncio.create_task(guard(deployment, r, ends)) for r in deployment.routers
+        routes = [
+            route("revise", "streaming", ENGINES, resumable=True, maxAttempts=2),
+            route("publish", "unsafe", APP),
+            route("lookup", "safe", APP, maxAttempts=2),
         ]
-        n_parts = N_PARTS if has_trouble else FEW_PARTS
-        ends_at, number, calls = record.now() + RUN_S, 0, []
-        while record.now() < ends_at:
-            number += 1
-            router = deployment.routers[number % len(deployment.routers)]
-            call_ = one_call(deployment, router, n_parts, statuses)
-            calls.append(asyncio.create_task(call_))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        await asyncio.gather(*calls)
-        for task in guards:
-            task.cancel()
-        peaks = [round(r.memory_mb()) for r in deployment.routers]
-        n_ok = statuses.count(200)
-        record.write("judged", ends=ends, memory_mb=peaks, sent=number, served=n_ok)
-        print(f"ends {ends}; memory at the end {peaks} MB; {n_ok} of {number} served")
-        if sum(n >= MAX_ENDS for n in ends) >= MACHINES:
-            return [f"Fault: processes exceeded their memory {ends} times"]
-        return []
+        await deployment.start_store(configuration(routes, [ENGINES, APP]))
+        if has_trouble:
+            # It was there before the runners that serve now.
+            deployment.store.put("keyed.servers", "acervo-app", ODD_ENTRY)
+            record.write("odd_entry", entry=ODD_ENTRY)
+        for number in range(5):
+            await deployment.add_runner(
+                f"i-llm-{number}", ENGINES, serve_stream, slots=64
+            )
+        for number in range(3):
+            await deployment.add_runner(f"i-app-{number}", APP, serve_app)
+        await deployment.start_routers(ZONES)
+        await asyncio.sleep(STABLE_S)
+        results: Counter = Counter()
+        await asyncio.gather(*(client(deployment, k, results) for k in RATES))
+        return judge(record, results)
     finally:
         await deployment.stop()
 
 
+def judge(record, results: Counter) -> list[str]:
+    """Return how the rule Starved is broken, if it is."""
+    sent = Counter()
+    for (kind, _), n in results.items():
+        sent[kind] += n
+    served = {kind: results[kind, 200] / sent[kind] for kind in sent}
+    share = sum(results[kind, 200] for kind in sent) / sum(sent.values())
+    text = ", ".join(f"{k} {served[k]:.2f} of {sent[k]}" for k in sorted(sent))
+    record.write("judged", served=text, all=round(share, 3), results=dict(results))
+    print(f"served: {text}; all {share:.2f}; answers {dict(results)}")
+    return [
+        f"Starved: {kind} is served {served[kind]:.2f} of the time, all {share:.2f}"
+        for kind in sorted(sent)
+        if served[kind] < share / 4
+    ]
+
+
 if __name__ == "__main__":
     main(case, FOLDER)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Many users send large requests at once, and those that run are cut off."""
+"""A few answers with line ends without end hold up the routers for seconds."""
 
 import asyncio
 import sys
@@ -13,133 +13,182 @@
     Request,
     Runner,
     answer,
+    call,
     configuration,
-    encode_call,
     main,
-    read_head,
     route,
 )
 
-SERVICE = "tellimused"
-N_ROUTERS = 2
-N_RUNNERS = 4
-MEMORY_MB = 205  # of the smallest machine of the small sites
-BODY_BYTES = 4_000_000  # the configuration allows 4,194,304
-N_CLIENTS = 24
-# The longest work of the site is 220 ms, and runners share their machines (x 2.5).
-WORK_S = 0.45
-# A burst that the link of the machine carries, as 4 MB take 21 ms.
-GAP_S = 0.03
-CALM_GAP_S = 0.5
-DEADLINE_MS = 2500
-# The rule is broken by more requests than these.
-ALLOWED = 3
-
-
-async def handle(runner: Runner, request: Request, writer) -> None:
-    record = runner._record
-    record.write("run", runner=runner.id, id=request.id, bytes=len(request.body))
-    if len(request.body) > 1000:
-        await asyncio.sleep(WORK_S)
-    record.write("done", runner=runner.id, id=request.id)
-    writer.write(answer(request, b"confirmed"))
-
-
-class Client:
-    """A client with one connection that it keeps.
-
-    Attributes:
-        large: Id of its large request.
-        status: Status of the answer to it; 0 if the connection was closed without one.
-    """
-
-    def __init__(self, deployment: Deployment, router) -> None:
-        self._deployment = deployment
-        self._router = router
-        self.large = deployment.new_id()
-        self.status = -1
-
-    async def connect(self) -> None:
-        """Connect, and have one small request answered."""
-        self._streams = await asyncio.open_connection(
-            self._router.address, self._router.port
+ENGINES, APP = "modelo-frasear", "acervo-app"
+ZONES = ["recife-a", "recife-a", "fortaleza-b", "salvador-c"]
+RUN_S = 15.0
+TROUBLE_AT_S = 4.0
+TROUBLE_S = 5.0
+WORK_S = 0.06
+N_EVENTS = 10
+EVENT_S = 0.02
+STREAMS_PER_S = 80.0
+PUBLISHES_PER_S = 12.0
+# One in fifty of the answers of the engines, as `garble` of the site spoils.
+SPOILT_ONE_IN = 50
+TIMEOUT_S = 0.8  # of the route
+DEADLINE_S = 1.5  # of the clients
+LATE_S = 0.5
+# Fewer unanswered requests than these prove nothing.
+MIN_UNANSWERED = 8
+
+
+class Engines:
+    """Answers streams; some answers are line ends until the caller closes."""
+
+    def __init__(self) -> None:
+        self.is_faulty = False
+        self.n_answers = 0
+        self.n_spoilt = 0
+
+    async def handle(self, runner: Runner, request: Request, writer) -> None:
+        self.n_answers += self.is_faulty
+        is_spoilt = self.is_faulty and self.n_answers % SPOILT_ONE_IN == 0
+        runner._record.write(
+            "run", runner=runner.id, id=request.id, spoilt=is_spoilt
         )
-        status = await self._send(self._deployment.new_id(), b"order")
-        self._deployment.record.write("first_answer", status=status)
-
-    async def send_large(self) -> None:
-        self.status = await self._send(self.large, b"x" * BODY_BYTES)
-
-    async def _send(self, id: str, body: bytes) -> int:
-        record = self._deployment.record
-        record.write("sent", id=id, bytes=len(body))
-        reader, writer = self._streams
-        status = 0
-        try:
-            async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
-                deadline = {"Chicorylead_Deadline_Ms": str(DEADLINE_MS)}
-                writer.write(encode_call("/confirm/a", id, "POST", body, **deadline))
-                first, headers = await read_head(reader)
-                status = int(first.split(" ")[1])
-                await reader.readexactly(int(headers.get("content-length", 0)))
-        except (OSError, EOFError) as exc:
-            record.write("closed", id=id, by=repr(exc))
-            status = 0
-        except TimeoutError:
-            status = -1
-        record.write("answered", id=id, status=status)
-        return status
-
-    def close(self) -> None:
-        self._streams[1].transport.abort()
+        writer.write(
+            (
+                f"HTTP/1.1 200 OK\r\nChicorylead-Attempt-Id: {request.id}\r\n"
+                "Chicorylead-Response-Seal: 3e1b.07.5a2\r\n"
+                "Content-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n"
+            ).encode()
+        )
+        if is_spoilt:
+            self.n_spoilt += 1
+            lines = b"\n" * 8192
+            while True:
+                writer.write(b"%x\r\n%s\r\n" % (len(lines), lines))
+                await writer.drain()
+        for number in range(1, N_EVENTS + 1):
+            event = f"id: {number}\ndata: text\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
+
+
+async def serve_app(runner: Runner, request: Request, writer) -> None:
+    runner._record.write("run", runner=runner.id, id=request.id)
+    await asyncio.sleep(WORK_S)
+    writer.write(answer(request, b"published"))
+
+
+async def one_call(
+    deployment: Deployment, number: int, kind: str, deadline_s: float, times: list
+) -> None:
+    router = deployment.routers[number % len(deployment.routers)]
+    id = deployment.new_id()
+    deadline = {"Chicorylead_Deadline_Ms": str(int(1000 * deadline_s))}
+    sent_at = deployment.record.write("sent", id=id, kind=kind, router=router.number)
+    reply = await call(
+        router, f"/{kind}/a", id, "POST", id.encode(), timeout_s=deadline_s, **deadline
+    )
+    took_s = deployment.record.now() - sent_at
+    deployment.record.write(
+        "answered", id=id, status=reply.status, whole=reply.whole, took_s=f"{took_s:.3f}"
+    )
+    times.append(took_s if reply.status else deadline_s)
+
+
+async def client(
+    deployment: Deployment, kind: str, per_s: float, deadline_s: float, times: list
+) -> None:
+    ends_at = deployment.record.now() + RUN_S
+    calls, number = [], 0
+    while deployment.record.now() < ends_at:
+        number += 1
+        call_ = one_call(deployment, number, kind, deadline_s, times)
+        calls.append(asyncio.create_task(call_))
+        await asyncio.sleep(1 / per_s)
+    await asyncio.gather(*calls)
+
+
+async def watch(deployment: Deployment, silences: list[float]) -> None:
+    """Ask a router again and again whether it is ready; record how long it takes."""
+    record = deployment.record
+
+    async def watch_one(router) -> None:
+        while True:
+            asked_at = record.now()
+            while not await router.is_ready():
+                pass
+            silences.append(record.now() - asked_at)
+            if silences[-1] > 1.0:
+                record.write(
+                    "silent", router=router.number, seconds=f"{silences[-1]:.1f}"
+                )
+            await asyncio.sleep(0.5)
+
+    await asyncio.gather(*(watch_one(router) for router in deployment.routers))
 
 
 async def case(folder: Path, has_trouble: bool) -> list[str]:
-    deployment = Deployment(folder, n_routers=N_ROUTERS)
+    deployment = Deployment(folder, n_routers=len(ZONES))
     record = deployment.record
+    engines = Engines()
     try:
-        routes = [route("confirm", "unsafe", SERVICE, timeoutMs=DEADLINE_MS)]
-        await deployment.start_store(configuration(routes, [SERVICE]))
-        for number in range(N_RUNNERS):
-            await deployment.add_runner(f"i-{number}", SERVICE, handle)
-        await deployment.start_routers(memory_mb=[MEMORY_MB])
+        routes = [
+            route("revise", "streaming", ENGINES, resumable=True, maxAttempts=2),
+            route("publish", "unsafe", APP, timeoutMs=1000 * TIMEOUT_S),
+        ]
+        routes[0]["timeoutMs"] = 15000
+        await deployment.start_store(configuration(routes, [ENGINES, APP]))
+        for number in range(5):
+            await deployment.add_runner(
+                f"i-llm-{number}", ENGINES, engines.handle, slots=64
+            )
+        for number in range(3):
+            await deployment.add_runner(f"i-app-{number}", APP, serve_app)
+        await deployment.start_routers(ZONES)
         await asyncio.sleep(STABLE_S)
-        clients = [Client(deployment, deployment.routers[0]) for _ in range(N_CLIENTS)]
-        for client in clients:
-            await client.connect()
-        # Without trouble the clients come so that few are there at a time.
-        if not has_trouble:
-            clients = clients[:20]
-        gap_s = GAP_S if has_trouble else CALM_GAP_S
-        calls = []
-        for client in clients:
-            calls.append(asyncio.create_task(client.send_large()))
-            await asyncio.sleep(gap_s)
-        await asyncio.gather(*calls)
-        await asyncio.sleep(WORK_S)
-        for client in clients:
-            client.close()
-        return judge(deployment, clients)
+        streams: list[float] = []
+        publishes: list[float] = []
+        silences: list[float] = []
+        watcher = asyncio.create_task(watch(deployment, silences))
+        clients = [
+            asyncio.create_task(
+                client(deployment, "revise", STREAMS_PER_S, 12.0, streams)
+            ),
+            asyncio.create_task(
+                client(deployment, "publish", PUBLISHES_PER_S, DEADLINE_S, publishes)
+            ),
+        ]
+        await asyncio.sleep(TROUBLE_AT_S)
+        engines.is_faulty = has_trouble
+        await asyncio.sleep(TROUBLE_S)
+        engines.is_faulty = False
+        await asyncio.gather(*clients)
+        watcher.cancel()
+        print(f"a router did not answer for {max(silences):.1f} s at most")
+        return judge(record, engines, publishes)
     finally:
         await deployment.stop()
 
 
-def judge(deployment: Deployment, clients: list[Client]) -> list[str]:
-    """Return how the rule LOST is broken, if it is."""
-    lines = (FOLDER / "record.txt").read_text().splitlines()
-    run = {line.split("id=")[-1].split()[0] for line in lines if " run " in line}
-    lost = [c.large for c in clients if c.status == 0 and c.large in run]
-    statuses = sorted(c.status for c in clients)
-    peak_mb = deployment.routers[0].peak_memory_mb()
-    deployment.record.write(
-        "judged", statuses=statuses, run_and_lost=len(lost), peak_mb=round(peak_mb)
+def judge(record, engines: Engines, publishes: list[float]) -> list[str]:
+    """Return how the rule CONFIG is broken, if it is."""
+    unanswered = sum(took_s > TIMEOUT_S for took_s in publishes)
+    late = sum(took_s > TIMEOUT_S + LATE_S for took_s in publishes)
+    record.write(
+        "judged",
+        spoilt=engines.n_spoilt,
+        publishes=len(publishes),
+        unanswered=unanswered,
+        late=late,
     )
     print(
-        f"statuses {statuses}; {len(lost)} were run and not answered; "
-        f"the router held {peak_mb:.0f} MB of {MEMORY_MB} at most"
+        f"{engines.n_spoilt} spoilt answers; of {len(publishes)} requests {unanswered} "
+        f"had no answer at the timeout, {late} none half a second later"
     )
-    if len(lost) > ALLOWED:
-        return [f"LOST: {len(lost)} requests were passed on and cut off"]
+    if unanswered >= MIN_UNANSWERED and late > unanswered / 2:
+        return [f"CONFIG: {late} of {unanswered} requests have no answer in time"]
     return []
 
 
