--- a/review/13/case.py
+++ b/review/13/case.py
@@ -21,16 +21,16 @@
 
 ENGINES, APP = "modelo-frasear", "acervo-app"
 ZONES = ["recife-a", "recife-a", "fortaleza-b", "salvador-c"]
-RUN_S = 15.0
+RUN_S = 16.0
 TROUBLE_AT_S = 4.0
-TROUBLE_S = 5.0
+TROUBLE_S = 6.5
 WORK_S = 0.06
 N_EVENTS = 10
 EVENT_S = 0.02
 STREAMS_PER_S = 80.0
 PUBLISHES_PER_S = 12.0
-# One in fifty of the answers of the engines, as `garble` of the site spoils.
-SPOILT_ONE_IN = 50
+# Of the answers of the engines; `garble` of the site spoils 0.03 of them.
+SPOILT_ONE_IN = 33
 TIMEOUT_S = 0.8  # of the route
 DEADLINE_S = 1.5  # of the clients
 LATE_S = 0.5
