--- a/review/shared-3/standins.py
+++ b/review/shared-3/standins.py
@@ -720,9 +720,16 @@
             returns the sentences that tell how the rule was broken.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run() -> list[str]:
+        # All processes are ended also if the script is told to end.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(case(folder, has_trouble), 115.0)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(case(folder, has_trouble), 115.0))
-    except (CannotRun, OSError, TimeoutError) as exc:
+        broken = asyncio.run(run())
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as exc:
         print(f"could not run: {exc!r}")
         sys.exit(2)
     for sentence in broken:
