--- a/review/11/case.py
+++ b/review/11/case.py
@@ -28,10 +28,10 @@
 # Requests a second, as on the smallest site at a quarter of its traffic.
 RATES = {"revise": 20.0, "publish": 2.1, "lookup": 0.9}
 METHODS = {"revise": "POST", "publish": "POST", "lookup": "GET"}
-# Neither `coldLeftMs` nor `born`, and a name with an empty part for an address.
+# Neither `coldLeftMs` nor `born`, and a loopback address with an empty part.
 ODD_ENTRY = {
     "service": APP,
-    "address": "acervo-app..svc:8080",
+    "address": "127..0.1:8080",
     "zone": "recife-a",
     "version": "1.0",
     "slots": 6,
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -23,14 +23,15 @@
 ZONES = ["recife-a", "recife-a", "fortaleza-b", "salvador-c"]
 RUN_S = 16.0
 TROUBLE_AT_S = 4.0
-TROUBLE_S = 6.5
+TROUBLE_S = 5.0
 WORK_S = 0.06
 N_EVENTS = 10
 EVENT_S = 0.02
 STREAMS_PER_S = 80.0
 PUBLISHES_PER_S = 12.0
-# Of the answers of the engines; `garble` of the site spoils 0.03 of them.
-SPOILT_ONE_IN = 33
+# As `garble` of the site: a share of up to 0.5 of the runners, 0.05 of their answers.
+FAULTY = ("i-llm-0", "i-llm-1")
+SPOILT_ONE_IN = 20
 TIMEOUT_S = 0.8  # of the route
 DEADLINE_S = 1.5  # of the clients
 LATE_S = 0.5
@@ -47,8 +48,9 @@
         self.n_spoilt = 0
 
     async def handle(self, runner: Runner, request: Request, writer) -> None:
-        self.n_answers += self.is_faulty
-        is_spoilt = self.is_faulty and self.n_answers % SPOILT_ONE_IN == 0
+        may_spoil = self.is_faulty and runner.id in FAULTY
+        self.n_answers += may_spoil
+        is_spoilt = may_spoil and self.n_answers % SPOILT_ONE_IN == 0
         runner._record.write(
             "run", runner=runner.id, id=request.id, spoilt=is_spoilt
         )
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -8,7 +8,8 @@
 sys.path.insert(0, str(FOLDER.parent / "shared-3"))
 
 from standins import (  # noqa: E402
-    STABLE_S,
+    BOUNDS,
+    HEARTBEAT_S,
     Deployment,
     Request,
     Runner,
@@ -24,6 +25,9 @@
 ZONES = ["recife-a"]
 N_ROUTERS = 8
 N_RUNNERS = 3
+# Bounds of the grown site that differ.
+GROWN = {"stableMs": 4000, "drainMs": 3000, "configApplyMs": 3000, "retrySlack": 170}
+STABLE_S = GROWN["stableMs"] / 1000
 POISON = b'{"edition": 7}'
 WORK_S = 0.05
 DOWN_S = 2.0  # a runner is back after some seconds
@@ -58,13 +62,16 @@
         self.restarts.add(task)
 
     async def _crash(self, runner: Runner) -> None:
+        old_id = runner.id
         runner.crash()
         await asyncio.sleep(DOWN_S)
-        # The new incarnation has a new id; the entry of the old one is removed.
-        runner._store.put("keyed.servers", runner.id, None)
+        # The new incarnation has a new id.
         runner.id = f"i-{self.n_ids}"
         self.n_ids += 1
         await runner.start()
+        # The entry of the old one is removed after three heartbeat intervals.
+        await asyncio.sleep(3 * HEARTBEAT_S - DOWN_S)
+        runner._store.put("keyed.servers", old_id, None)
 
 
 async def ordinary(deployment: Deployment) -> None:
@@ -85,7 +92,7 @@
         await deployment.start_store(configuration(routes, [SERVICE]))
         for number in range(N_RUNNERS):
             await deployment.add_runner(f"i-{number}", SERVICE, runs.handle)
-        await deployment.start_routers(ZONES)
+        await deployment.start_routers(ZONES, bounds={**BOUNDS, **GROWN})
         await asyncio.sleep(STABLE_S)
         for attempt in range(N_ATTEMPTS):
             router = deployment.routers[attempt % N_ROUTERS]
