Bound the work for one read of an answer by its length

Cause: EventSplitter copied all that it holds for the next event with each blank block, up to 256 KB for each of 130,000 blocks, without a return to the event loop. Of the same class: comments, incomplete events in many reads, and names of fields and headers that were compared with each known one letter by letter.

Change: what is held grows in place, only new bytes are searched for the end of an event, NearNames compares a name in one call, and a read of a stream is taken in parts of 16 KB, between which other tasks run.

Evidence: tests/gateway/test_work_per_read.py counts calls and copied bytes, not seconds.

--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -36,6 +36,7 @@
 BECAME_COLD_DETAIL = "the upstream became cold before the request was sent"
 # Part of the time left that a body without framing may take, as it may have no end.
 UNFRAMED_TIME_RATIO = 1 / 3
+FEED_BYTES = 16_384  # of a stream, read for events without a pause for other tasks
 MAX_BODY_BYTES = 4_194_304  # largest body allowed in either direction
 
 
@@ -295,15 +296,16 @@
             part = await self._read(conn.read_body_part, due_at)
             if part is None:
                 break
-            n_before = self._events.n_held
-            events = self._events.feed(part)
-            self._hold(self._events.n_held - n_before)
-            if events:
-                # Only new events extend the timeout; other bytes do not.
-                due_at = self._clock() + self._timeouts.event_s
-                await self._forward_events(events, head)
-            if self._events.fault is not None:
-                raise Failure(FailureKind.GARBLED, str(self._events.fault))
+            for at in range(0, len(part), FEED_BYTES):
+                if at:
+                    await asyncio.sleep(0)
+                events = self._feed(part[at : at + FEED_BYTES])
+                if events:
+                    # Only new events extend the timeout; other bytes do not.
+                    due_at = self._clock() + self._timeouts.event_s
+                    await self._forward_events(events, head)
+                if self._events.fault is not None:
+                    raise Failure(FailureKind.GARBLED, str(self._events.fault))
         rest = b"" if self._events.has_partial else self._events.end()
         if self._events.fault is not None:
             raise Failure(FailureKind.GARBLED, str(self._events.fault))
@@ -319,6 +321,13 @@
         self._upstream.record_answer(None)
         return Served(head.status)
 
+    def _feed(self, data: bytes) -> bytes:
+        """Return the new events in bytes of the stream."""
+        n_before = self._events.n_held
+        events = self._events.feed(data)
+        self._hold(self._events.n_held - n_before)
+        return events
+
     async def _forward_events(self, events: bytes, head: AnswerHead) -> None:
         now = self._clock()
         if self.first_event_s is None:
--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -10,7 +10,7 @@
 import httptools
 
 from chicorylead.upstream.answer import AnswerHead
-from chicorylead.upstream.wrong_byte import is_nearly
+from chicorylead.upstream.wrong_byte import NearNames
 
 __all__ = [
     "Connection",
@@ -33,6 +33,7 @@
 _HEAD_END = b"\r\n\r\n"
 _NO_CONTENT = 204  # the only status of a success that excludes a body
 _FRAMING = (b"content-length", b"transfer-encoding")
+_NEAR_FRAMING = NearNames(_FRAMING)
 
 
 @dataclass(frozen=True, slots=True)
@@ -381,7 +382,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header line."""
-        if self._state is _State.DONE:
+        if self._state is _State.DONE or self._failure is not None:
             return
         name = name.lower()
         self._has_framing |= name in _FRAMING
@@ -464,7 +465,7 @@
     """
     if name == b"transfer-encoding":
         return value.lower() != b"chunked"
-    return name not in _FRAMING and any(is_nearly(name, known) for known in _FRAMING)
+    return name in _NEAR_FRAMING
 
 
 async def open_connection(
--- a/src/chicorylead/upstream/event_format.py
+++ b/src/chicorylead/upstream/event_format.py
@@ -8,7 +8,7 @@
 import re
 from collections.abc import Collection
 
-from chicorylead.upstream.wrong_byte import is_nearly
+from chicorylead.upstream.wrong_byte import NearNames
 
 __all__ = ["EventFormat", "MalformedStream"]
 
@@ -16,6 +16,8 @@
 _NUMBER = re.compile(rb"(?:0|[1-9][0-9]{0,17})")
 # What nearly all events look like.
 _PLAIN_EVENT = re.compile(rb"id: (0|[1-9][0-9]{0,17})\ndata: [^\n]*")
+# Possessive, so that a block of many lines needs no memory for backtracking.
+_COMMENTS = re.compile(rb"\n*+(?::[^\n]*+(?:\n++|\Z))*+")
 _ID, _DATA, _RETRY = b"id", b"data", b"retry"
 _FIELDS = frozenset((_ID, _DATA, _RETRY, b"event"))
 
@@ -39,6 +41,7 @@
     def __init__(self, number_fields: Collection[bytes] = ()) -> None:
         self._number_fields = frozenset((_ID, _RETRY, *number_fields))
         self._known = _FIELDS | self._number_fields
+        self._near_known = NearNames(self._known)
 
     def read_id(self, block: bytes) -> str | None:
         """Return the id of an event, or None for comments and blank lines alone.
@@ -52,9 +55,9 @@
         _check_text(block)
         if (plain := _PLAIN_EVENT.fullmatch(block)) is not None:
             return plain[1].decode()
-        lines = [line for line in block.split(b"\n") if line]
-        if all(line.startswith(b":") for line in lines):
+        if _COMMENTS.fullmatch(block) is not None:
             return None
+        lines = [line for line in block.split(b"\n") if line]
         fields = [self._read_field(line) for line in lines]
         ids = [value for name, value in fields if name == _ID]
         if len(ids) != 1:
@@ -79,15 +82,11 @@
         if name in self._number_fields:
             if not _NUMBER.fullmatch(value.removeprefix(b" ")):
                 raise MalformedStream(f"not a number: {line[:40]!r}")
-        elif name not in self._known and self._is_nearly_known(name):
+        elif len(name) == 1 or name in self._near_known:
+            # One letter: the line end before a comment was the wrong byte.
             raise MalformedStream(f"a wrong byte in a name: {line[:40]!r}")
         return name, value
 
-    def _is_nearly_known(self, name: bytes) -> bool:
-        """Return whether one wrong byte can have made the name of a known one."""
-        # One letter: the line end before a comment was the wrong byte.
-        return len(name) == 1 or any(is_nearly(name, known) for known in self._known)
-
 
 def _check_text(block: bytes) -> None:
     """Check the characters of an event.
--- a/src/chicorylead/upstream/events.py
+++ b/src/chicorylead/upstream/events.py
@@ -48,10 +48,11 @@
         self.last_id = last_id
         self.n_events = 0
         self.fault: MalformedStream | None = None
-        self._partial = b""
+        # Buffers that grow in place: bytes that are no event come in many small pieces.
+        self._partial = bytearray()
         # Comments and blank lines, which are passed on with the event after them; also
         # a first event that is not confirmed.
-        self._held = b""
+        self._held = bytearray()
         self._unconfirmed: int | None = None
         # The same of the run before, which confirms the number if it is equal.
         self._unconfirmed_before: int | None = None
@@ -75,8 +76,7 @@
         if self.fault is not None:
             return b""
         self._n_bytes_without_event += len(data)
-        *blocks, self._partial = (self._partial + data).split(_END)
-        events = self._pass_on(blocks)
+        events = self._pass_on(self._pop_blocks(data))
         if self.fault is None and self._n_bytes_without_event > MAX_BYTES_WITHOUT_EVENT:
             self.fault = MalformedStream(
                 f"{self._n_bytes_without_event} bytes without an event"
@@ -97,25 +97,39 @@
         elif self._last_of_run is not None and not self._has_new_event:
             self.fault = StreamGap(f"run ends at repeated event {self._last_of_run}")
             return b""
-        return self._held + self._partial
+        return bytes(self._held + self._partial)
 
     def restart(self) -> None:
         """Discard a partial event; the next run resumes after the last whole one."""
         self.fault = None
-        self._partial = b""
-        self._held = b""
+        self._partial.clear()
+        self._held.clear()
         self._unconfirmed_before = self._unconfirmed
         self._unconfirmed = None
         self._last_of_run = None
         self._has_new_event = False
         self._n_bytes_without_event = 0
 
+    def _pop_blocks(self, data: bytes) -> list[bytes]:
+        """Add bytes; return the blocks that are complete, without their ends."""
+        # Only new bytes are searched: a block may arrive in many small parts.
+        searched = max(0, len(self._partial) - 1)
+        self._partial += data
+        if self._partial.find(_END, searched) < 0:
+            return []
+        *blocks, rest = bytes(self._partial).split(_END)
+        self._partial[:] = rest
+        return blocks
+
     def _pass_on(self, blocks: list[bytes]) -> bytes:
         events = []
         for block in blocks:
+            if not block:
+                self._held += _END
+                continue
             try:
                 event_id = self._format.read_id(block)
-                events.append(self._take(block + _END, event_id))
+                events.append(self._take(block, event_id))
             except MalformedStream as exc:
                 self.fault = exc
                 break
@@ -127,24 +141,26 @@
         Raises:
             StreamGap: The event does not follow the one before it.
         """
+        self._held += block
+        self._held += _END
         if event_id is None:
-            self._held += block
             return b""
         number = int(event_id)
         if self._last_of_run is not None and number != self._last_of_run + 1:
             raise StreamGap(f"event {number} follows {self._last_of_run}")
         is_first_of_run = self._last_of_run is None
         self._last_of_run = number
-        data, self._held = self._held + block, b""
         if _is_number(self.last_id):
             if number > int(self.last_id) + 1:
                 raise StreamGap(f"event {number} follows {self.last_id}")
             if number <= int(self.last_id):
+                self._held.clear()
                 return b""
         elif self.last_id is None and is_first_of_run and number != FIRST_ID:
-            self._held = data
             self._unconfirmed = number
             return b""
+        data = bytes(self._held)
+        self._held.clear()
         self._record(event_id, n_events=1 if self._unconfirmed is None else 2)
         return data
 
