Name the news of crashes after what it tells

Cause: the message that tells all live routers of crashes bears the name of prompts, while requests that crash upstreams are to take the same way.

Change: PromptReport is CrashNews and its module crash_news; it ages its own reports. Names on the wire and the logic do not change.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -235,7 +235,7 @@
         self._serving.is_confirmed = self._peers.is_confirmed
         self._notices.on_urgent_news = self._peers.queue_notices
         self._cold.on_news = self._peers.queue_claims
-        self._quarantine.on_news = self._peers.queue_prompt_report
+        self._quarantine.on_news = self._peers.queue_crash_news
         origins = StreamOrigins(self._clock)
         witnesses = StreamWitnesses(
             origins,
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -9,9 +9,9 @@
 from chicorylead.gateway.serving_routers import ServingRouters
 from chicorylead.gateway.settings import GatewaySettings
 from chicorylead.gateway.stream_witnesses import StreamMessage
+from chicorylead.outcome.crash_news import CrashNews
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import PromptQuarantine
-from chicorylead.outcome.prompt_report import PromptReport
 from chicorylead.peer.datagram import (
     Beacon,
     ColdReport,
@@ -130,18 +130,18 @@
         """Return the prompt parts that peers may not know to be answered."""
         return self._quarantine.pop_answered()
 
-    def make_prompt_report(self) -> PromptReport:
+    def make_crash_news(self) -> CrashNews:
         """Return the news about prompt parts since the last call."""
-        return self._state.make_prompt_report(self._incarnation)
+        return self._state.make_crash_news(self._incarnation)
 
-    def crash_report(self) -> PromptReport:
+    def known_crashes(self) -> CrashNews:
         """Return all that is known of crashes, for a router that has just started."""
         crashes = self._quarantine.crash_reports()
-        return PromptReport(self._incarnation, crashes, [], [])
+        return CrashNews(self._incarnation, crashes, [], [])
 
-    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+    def apply_crash_news(self, peer: str, news: CrashNews) -> None:
         """Apply a live peer's news about prompt parts."""
-        self._state.apply_prompt_report(peer, report)
+        self._state.apply_crash_news(peer, news)
 
     def news_of_notices(self) -> list[NoticeReport]:
         """Return what upstreams stated in the last moments."""
--- a/src/chicorylead/gateway/peer_state.py
+++ b/src/chicorylead/gateway/peer_state.py
@@ -6,9 +6,9 @@
 from chicorylead.admission.fair_share import FairShare, ShareKey, Usage
 from chicorylead.ids import OrganisationId, PoolName, PromptPartId, UpstreamId
 from chicorylead.logs import EventLog
+from chicorylead.outcome.crash_news import CrashNews, CrashReport
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import PromptQuarantine
-from chicorylead.outcome.prompt_report import CrashReport, PromptReport
 from chicorylead.peer.datagram import Beacon, StateDelta, UsageReport, WorkReport
 from chicorylead.traffic.request import PromptPart
 from chicorylead.upstream.live import LiveUpstream
@@ -65,15 +65,15 @@
         """Return the usage that changed since the last call."""
         return _encode_usage(self._shares.pop_changed())
 
-    def make_prompt_report(self, incarnation: int) -> PromptReport:
+    def make_crash_news(self, incarnation: int) -> CrashNews:
         """Return the news about prompt parts since the last call."""
-        return PromptReport(incarnation, *self._quarantine.pop_news())
+        return CrashNews(incarnation, *self._quarantine.pop_news())
 
-    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+    def apply_crash_news(self, peer: str, news: CrashNews) -> None:
         """Apply a peer's news about prompt parts."""
-        self._quarantine.apply_answered(report.answered)
-        self._apply_crashes(peer, report.crashes)
-        self._quarantine.apply_trials(report.trials)
+        self._quarantine.apply_answered(news.answered)
+        self._apply_crashes(peer, news.crashes)
+        self._quarantine.apply_trials(news.trials)
 
     def _apply_crashes(self, peer: str, crashes: Sequence[CrashReport]) -> None:
         for crash in self._quarantine.apply_crashes(crashes):
--- a/src/chicorylead/outcome/prompt_report.py
+++ b/src/chicorylead/outcome/crash_news.py
@@ -1,8 +1,9 @@
-"""What routers tell each other about prompt parts that crash engines."""
+"""What routers tell each other about crashes of upstreams."""
 
 from msgspec import Struct
+from msgspec.structs import replace
 
-__all__ = ["CrashReport", "PromptReport", "TrialReport"]
+__all__ = ["CrashReport", "CrashNews", "TrialReport"]
 
 
 class CrashReport(Struct, frozen=True, array_like=True):
@@ -35,7 +36,7 @@
     upstream: str
 
 
-class PromptReport(Struct, frozen=True, array_like=True, tag="t"):
+class CrashNews(Struct, frozen=True, array_like=True, tag="t"):
     """News about prompt parts.
 
     Attributes:
@@ -47,3 +48,10 @@
     crashes: list[CrashReport]
     trials: list[TrialReport]
     answered: list[bytes]
+
+    def aged(self, age_ms: int) -> "CrashNews":
+        """Return the news with the ages of its crashes some milliseconds later."""
+        crashes = [
+            replace(crash, age_ms=crash.age_ms + age_ms) for crash in self.crashes
+        ]
+        return replace(self, crashes=crashes)
--- a/src/chicorylead/outcome/prompt_quarantine.py
+++ b/src/chicorylead/outcome/prompt_quarantine.py
@@ -23,7 +23,7 @@
 
 from chicorylead.ids import CrashId, PromptPartId, RouterId, TrialId, UpstreamId
 from chicorylead.outcome.answered_parts import AnsweredParts
-from chicorylead.outcome.prompt_report import CrashReport, TrialReport
+from chicorylead.outcome.crash_news import CrashReport, TrialReport
 
 __all__ = ["Blocked", "Decision", "Free", "Held", "PromptQuarantine", "Trial"]
 
--- a/src/chicorylead/peer/datagram.py
+++ b/src/chicorylead/peer/datagram.py
@@ -7,8 +7,8 @@
 
 from msgspec import Struct
 
+from chicorylead.outcome.crash_news import CrashReport
 from chicorylead.outcome.poison_notice import PoisonNotice
-from chicorylead.outcome.prompt_report import CrashReport
 from chicorylead.traffic.stream import KnownOperatorRecords, KnownRecords
 
 __all__ = [
--- a/src/chicorylead/peer/protocol.py
+++ b/src/chicorylead/peer/protocol.py
@@ -25,7 +25,7 @@
 from chicorylead.decoding import decode_msgpack
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.outcome.prompt_report import PromptReport
+from chicorylead.outcome.crash_news import CrashNews
 from chicorylead.peer.confirmation import Confirmation
 from chicorylead.peer.datagram import (
     Beacon,
@@ -81,10 +81,10 @@
 DELTA_DELAY_PER_PEER_S = 0.001  # batches the sends of a few milliseconds
 NOTICE_DELAY_S = 0.002  # batches the answers of upstreams that are limited together
 NOTICES_PER_DATAGRAM = 25  # below the size at which networks split datagrams
-PROMPT_REPORT_DELAY_S = 0.002  # batches the requests that break in one crash
-# Of each prompt report: a router that misses it sends such prompts to engines until
+CRASH_NEWS_DELAY_S = 0.002  # batches the requests that break in one crash
+# Of all news of crashes: a router that misses it sends such prompts to engines until
 # the next beacon.
-N_PROMPT_REPORTS = 3
+N_CRASH_NEWS = 3
 USAGE_INTERVAL_S = 0.1  # 1/40 of the default window of shares
 # A router that sends deltas serves callers, even if it is not one that they are told.
 DELTA_SENDER_S = 5.0
@@ -96,26 +96,21 @@
 
 
 @dataclass(slots=True)
-class _RepeatedReport:
-    """A prompt report that is sent again some times.
+class _RepeatedNews:
+    """News of crashes that is sent again some times.
 
     Attributes:
         made_at: Event-loop time at which it was made, seconds.
         n_left: Times that it is still to be sent.
     """
 
-    report: PromptReport
+    news: CrashNews
     made_at: float
-    n_left: int = N_PROMPT_REPORTS - 1
-
-    def at(self, now: float) -> PromptReport:
-        """Return the report with the ages of its crashes at a later time."""
-        age_ms = round(1000 * (now - self.made_at))
-        crashes = [
-            msgspec.structs.replace(crash, age_ms=crash.age_ms + age_ms)
-            for crash in self.report.crashes
-        ]
-        return msgspec.structs.replace(self.report, crashes=crashes)
+    n_left: int = N_CRASH_NEWS - 1
+
+    def at(self, now: float) -> CrashNews:
+        """Return the news with the ages of its crashes at a later time."""
+        return self.news.aged(round(1000 * (now - self.made_at)))
 
 
 class LocalRouter(Protocol):
@@ -139,13 +134,13 @@
     def pop_answered_parts(self) -> list[bytes]:
         """Return the prompt parts that peers may not know to be answered."""
 
-    def make_prompt_report(self) -> PromptReport:
+    def make_crash_news(self) -> CrashNews:
         """Return the news about prompt parts since the last call."""
 
-    def crash_report(self) -> PromptReport:
+    def known_crashes(self) -> CrashNews:
         """Return all that is known of crashes, for a router that has just started."""
 
-    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
+    def apply_crash_news(self, peer: str, news: CrashNews) -> None:
         """Apply a live peer's news about prompt parts."""
 
     def news_of_notices(self) -> list[NoticeReport]:
@@ -260,10 +255,10 @@
         self._has_heard = False
         self._usage_sent_at = -USAGE_INTERVAL_S
         self._pending_reports: dict[str, SendReport] = {}
-        self._has_prompt_news = False
+        self._has_crash_news = False
         self._has_notices = False
         self._has_cold_news = False
-        self._repeated_reports: list[_RepeatedReport] = []
+        self._repeated_news: list[_RepeatedNews] = []
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
             Beacon
@@ -271,7 +266,7 @@
             | Heartbeat
             | NoticeReports
             | Presence
-            | PromptReport
+            | CrashNews
             | RelayedDatagram
             | StateDelta
             | StreamAnswer
@@ -376,7 +371,7 @@
             self._members.evict(now)
         self._n_ticks += 1
         self._repeat_announcement()
-        self._repeat_prompt_reports()
+        self._repeat_crash_news()
         self.send_notices()
         self._router.refresh_claims()
         if self._n_ticks % HEARTBEATS_PER_CLAIM == 0:
@@ -539,32 +534,32 @@
         delta = StateDelta(self._incarnation, reports, usage, answered)
         self._broadcast(self._encoder.encode(delta))
 
-    def queue_prompt_report(self) -> None:
+    def queue_crash_news(self) -> None:
         """Send the news about prompt parts to all live peers, some milliseconds later.
 
         Peers that callers are not told to use get requests as well, from callers with
         an old list.
         """
-        if not self._has_prompt_news:
-            self._has_prompt_news = True
-            self._loop.call_later(PROMPT_REPORT_DELAY_S, self.send_prompt_report)
+        if not self._has_crash_news:
+            self._has_crash_news = True
+            self._loop.call_later(CRASH_NEWS_DELAY_S, self.send_crash_news)
 
-    def send_prompt_report(self) -> None:
+    def send_crash_news(self) -> None:
         """Send the news about prompt parts to all live peers, and again some times."""
-        self._has_prompt_news = False
-        report = self._router.make_prompt_report()
-        self._send_to_live(report)
+        self._has_crash_news = False
+        news = self._router.make_crash_news()
+        self._send_to_live(news)
         # A repeated start of a trial could follow its end.
-        repeated = msgspec.structs.replace(report, trials=[])
+        repeated = msgspec.structs.replace(news, trials=[])
         if repeated.crashes or repeated.answered:
-            self._repeated_reports.append(_RepeatedReport(repeated, self._clock()))
+            self._repeated_news.append(_RepeatedNews(repeated, self._clock()))
 
-    def _repeat_prompt_reports(self) -> None:
+    def _repeat_crash_news(self) -> None:
         now = self._clock()
-        for repeated in self._repeated_reports:
+        for repeated in self._repeated_news:
             self._send_to_live(repeated.at(now))
             repeated.n_left -= 1
-        self._repeated_reports = [r for r in self._repeated_reports if r.n_left > 0]
+        self._repeated_news = [r for r in self._repeated_news if r.n_left > 0]
 
     def send_streams(
         self,
@@ -638,12 +633,12 @@
 
     def _send_crashes(self, host: str) -> None:
         """Tell a router that asks, as it has just started, what crashed engines."""
-        report = self._router.crash_report()
-        if report.crashes:
-            self._send_to(host, self._encoder.encode(report))
+        news = self._router.known_crashes()
+        if news.crashes:
+            self._send_to(host, self._encoder.encode(news))
 
-    def _send_to_live(self, report: PromptReport) -> None:
-        data = self._encoder.encode(report)
+    def _send_to_live(self, news: CrashNews) -> None:
+        data = self._encoder.encode(news)
         for peer in self.live():
             self._send_to(peer.presence.host, data)
 
@@ -721,8 +716,8 @@
                 self._handle_heartbeat(message, origin)
             case NoticeReports():
                 self._handle_notices(message, origin)
-            case PromptReport():
-                self._handle_prompt_report(message, origin)
+            case CrashNews():
+                self._handle_crash_news(message, origin)
             case RelayedDatagram():
                 self._handle_relayed(message, origin)
             case StateDelta():
@@ -773,12 +768,12 @@
         if heartbeat.wants_reply:
             self._send_heartbeat([sender])
 
-    def _handle_prompt_report(self, report: PromptReport, sender: str) -> None:
+    def _handle_crash_news(self, news: CrashNews, sender: str) -> None:
         peer = self._members.by_host(sender)
         if peer is None or not peer.is_live:
             return
-        if peer.presence.incarnation == report.incarnation:
-            self._router.apply_prompt_report(peer.presence.id, report)
+        if peer.presence.incarnation == news.incarnation:
+            self._router.apply_crash_news(peer.presence.id, news)
 
     def _handle_notices(self, reports: NoticeReports, sender: str) -> None:
         peer = self._members.by_host(sender)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -22,7 +22,7 @@
 from chicorylead.ids import RouterId, ZoneName
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
-from chicorylead.outcome.prompt_report import CrashReport, PromptReport
+from chicorylead.outcome.crash_news import CrashNews, CrashReport
 from chicorylead.peer.datagram import (
     Beacon,
     ColdReport,
@@ -468,7 +468,7 @@
         serving: Ids of the routers that callers are told to use; None for all.
         has_reports: Whether this router has state to send.
         crashes: Crashes that this router knows of.
-        prompt_reports: Ids of peers, with their prompt reports.
+        crash_news: Ids of peers, with their news of crashes.
         notices: What upstreams stated in answers to this router.
         streams: Ids of peers, with the streams that they began.
         notice_reports: Ids of peers, with what upstreams stated in answers to them.
@@ -484,7 +484,7 @@
         self.serving: set[str] | None = None
         self.has_reports = True
         self.crashes: list[CrashReport] = []
-        self.prompt_reports: list[tuple[str, PromptReport]] = []
+        self.crash_news: list[tuple[str, CrashNews]] = []
         self.notices: list[NoticeReport] = []
         self.streams: list[tuple[object, str]] = []
         self.notice_reports: list[tuple[str, list[NoticeReport]]] = []
@@ -507,14 +507,14 @@
     def pop_answered_parts(self) -> list[bytes]:
         return []
 
-    def make_prompt_report(self) -> PromptReport:
-        return PromptReport(self.presence.incarnation, self.crashes, [], [])
+    def make_crash_news(self) -> CrashNews:
+        return CrashNews(self.presence.incarnation, self.crashes, [], [])
 
-    def crash_report(self) -> PromptReport:
-        return self.make_prompt_report()
+    def known_crashes(self) -> CrashNews:
+        return self.make_crash_news()
 
-    def apply_prompt_report(self, peer: str, report: PromptReport) -> None:
-        self.prompt_reports.append((peer, report))
+    def apply_crash_news(self, peer: str, news: CrashNews) -> None:
+        self.crash_news.append((peer, news))
 
     def news_of_notices(self) -> list[NoticeReport]:
         return self.notices
--- a/tests/gateway/test_fleet_sizes.py
+++ b/tests/gateway/test_fleet_sizes.py
@@ -17,9 +17,9 @@
 from chicorylead.ids import PromptPartId, RouterId, UpstreamId
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
+from chicorylead.outcome.crash_news import CrashReport
 from chicorylead.outcome.poison import PoisonList
 from chicorylead.outcome.prompt_quarantine import PromptQuarantine
-from chicorylead.outcome.prompt_report import CrashReport
 from chicorylead.peer.datagram import WorkReport
 from chicorylead.peer.membership import HEARTBEAT_INTERVAL_S
 from chicorylead.peer.protocol import PeerProtocol
@@ -289,12 +289,12 @@
         fleet.introduce()
         source, *others = fleet.routers
         fleet.routers[source].crashes = [CrashReport("u1@1", [b"part"], False, 0)]
-        fleet.protocols[source].send_prompt_report()
+        fleet.protocols[source].send_crash_news()
         fleet.run(0.01)
-        told = [host for host in others if fleet.routers[host].prompt_reports]
+        told = [host for host in others if fleet.routers[host].crash_news]
         assert len(told) >= 0.95 * len(others)
         fleet.run(0.3)
-        assert all(fleet.routers[host].prompt_reports for host in others)
+        assert all(fleet.routers[host].crash_news for host in others)
 
     asyncio.run(main())
 
@@ -308,11 +308,10 @@
         source, other, *_ = fleet.routers
         fleet.routers[source].crashes = [CrashReport("u1@1", [b"part"], False, 0)]
         fleet.run(0.5)
-        fleet.protocols[source].send_prompt_report()
+        fleet.protocols[source].send_crash_news()
         fleet.run(0.5)
         ages_ms = [
-            report.crashes[0].age_ms
-            for _, report in fleet.routers[other].prompt_reports
+            report.crashes[0].age_ms for _, report in fleet.routers[other].crash_news
         ]
         assert len(ages_ms) >= 2
         assert ages_ms == sorted(ages_ms) and ages_ms[-1] >= 80
@@ -329,7 +328,7 @@
         newcomer = "10.9.0.1"
         fleet.add(newcomer, "z0", tuple(fleet.routers)[:3])
         fleet.run(1.0)
-        assert fleet.routers[newcomer].prompt_reports
+        assert fleet.routers[newcomer].crash_news
 
     asyncio.run(main())
 
@@ -348,7 +347,7 @@
             None, 1, state, None, None, poison, quarantine, None, None, None, None, now
         )
         assert not router.has_state()
-        assert router.crash_report().crashes
+        assert router.known_crashes().crashes
         state.is_active = lambda: True
         assert router.has_state()
 
