Check what an entry names, and blame its upstream for what it raises

Cause: of an entry's address only the port was checked. Connecting to a host such as "127..0.1" raises UnicodeError; only OSError and TimeoutError were failures of the upstream, so that this one passed for a defect of the router, nothing was recorded against the entry, and it stayed the upstream with the fewest requests. Found on related paths: ids that no header can carry (the same), entries with the address of another upstream (each request went there first and got 421), and a dozen entries that refuse connections (a request tried four upstreams and was refused).

Change: all fields of an entry are checked when it is read; what is wrong is logged once for each key and reason, and counted. Whatever connecting raises is a failure of the upstream. One that answers 421 is ejected. A connection that is refused at once does not count towards the four.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -141,6 +141,7 @@
             self._intakes,
             self._outage_ended_at,
             self.log,
+            self._metrics,
         )
         self._serving = ServingRouters(cfg, self._live_peers, self._clock, self.log)
         self._records_age = RecordsAge(
--- a/src/chicorylead/gateway/forward.py
+++ b/src/chicorylead/gateway/forward.py
@@ -37,7 +37,8 @@
 
 __all__ = ["Accepted", "Forwarder"]
 
-MAX_SENDS = 4  # bounds the full or unreachable upstreams that a request tries
+MAX_SENDS = 4  # bounds the full or silent upstreams that a request tries
+REFUSED_AT_ONCE_S = 0.05  # a connection that fails sooner costs a request no time
 STALL_TIMEOUT_FACTOR = 3.0  # times the expected wait; slower counts as stalled
 # Longer than any pause that operators allow between events, and shorter than the two
 # seconds after which callers leave.
@@ -57,6 +58,7 @@
     excluded: set[UpstreamId] = field(default_factory=set)
     used: set[Connection] = field(default_factory=set)
     n_sends: int = 0
+    n_refused_at_once: int = 0  # of these, by upstreams not tried before
     n_runs: int = 0
     has_retry: bool = False  # taken from the budget before the upstream was abandoned
     rejected: Rejected | None = None
@@ -275,7 +277,8 @@
                 self._journal.end(req)
                 return True
             case NotRun():
-                self._handle_not_run(placement.upstream, progress, outcome)
+                took_s = self._clock() - started
+                self._handle_not_run(placement.upstream, progress, outcome, took_s)
             case Rejected():
                 placement.upstream.record_failure()
                 progress.rejected = outcome
@@ -314,14 +317,24 @@
         return Timeouts(first_s, EVENT_TIMEOUT_S, BODY_TIMEOUT_S)
 
     def _handle_not_run(
-        self, upstream: LiveUpstream, progress: _Progress, outcome: NotRun
+        self,
+        upstream: LiveUpstream,
+        progress: _Progress,
+        outcome: NotRun,
+        took_s: float,
     ) -> None:
-        if not outcome.was_received:
+        if (
+            not outcome.was_received
+            and took_s < REFUSED_AT_ONCE_S
+            and upstream.id not in progress.excluded
+        ):
+            progress.n_refused_at_once += 1
+        if not outcome.was_received or outcome.is_elsewhere:
             if upstream.record_failure(is_unreachable=True):
                 self._record_ejection(upstream, outcome.detail)
         else:
             upstream.record_inconclusive()
-        if progress.n_sends >= MAX_SENDS:
+        if progress.n_sends - progress.n_refused_at_once >= MAX_SENDS:
             raise self._final_refusal(progress, ErrorKind.NO_UPSTREAM, outcome.detail)
         service = upstream.entry.service
         if outcome.was_received and not self._take_retry(service):
--- a/src/chicorylead/gateway/outcome.py
+++ b/src/chicorylead/gateway/outcome.py
@@ -20,10 +20,12 @@
 
     Attributes:
         was_received: Whether the request reached the upstream.
+        is_elsewhere: Whether another upstream is at the address of this one.
     """
 
     detail: str
     was_received: bool
+    is_elsewhere: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chicorylead/gateway/sender.py
+++ b/src/chicorylead/gateway/sender.py
@@ -225,7 +225,8 @@
             self._notices.record(self._upstream, head.notice, self._sent_at)
         if head.is_not_run:
             await self._skip_body(conn)
-            return NotRun(f"status {head.status}", was_received=True)
+            detail = f"status {head.status}"
+            return NotRun(detail, True, is_elsewhere=head.is_wrong_upstream)
         if head.is_success and not head.is_sealed:
             raise Failure(FailureKind.GARBLED, "successful answer without a seal")
         if head.is_unproved_refusal:
--- a/src/chicorylead/platform/registry.py
+++ b/src/chicorylead/platform/registry.py
@@ -1,5 +1,11 @@
-"""Decodes the entries by which upstreams register in the platform's store."""
+"""Decodes the entries by which upstreams register in the platform's store.
 
+Other writers may put entries there as well. Whatever an entry names is checked here,
+before it gets into connections, headers or messages.
+"""
+
+import re
+from ipaddress import IPv4Address
 from typing import Literal
 
 from msgspec import Struct
@@ -17,6 +23,9 @@
 __all__ = ["decode_upstream", "revision_of_upstream"]
 
 MAX_COLD_MS = 86_400_000.0  # a day; a longer time is an error of its writer
+MAX_SHOWN = 80  # characters of a wrong value
+MAX_NAME = 255  # characters
+_HEADER_VALUE = re.compile(r"[!-~]+")
 
 
 class _Entry(Struct, rename="camel", frozen=True):
@@ -60,16 +69,20 @@
         ValueError: The entry does not describe a usable upstream.
     """
     entry = decode_json(data, _Entry)
-    host, colon, port = entry.address.rpartition(":")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"address {entry.address!r} is not an IP address and a port")
+    names = {"service": entry.service, "zone": entry.zone, "version": entry.version}
+    for field, name in (("id", key), *names.items()):
+        if not name.isprintable() or not 0 < len(name) <= MAX_NAME:
+            raise ValueError(f"{field} {_shown(name)} is no name")
+    if not _HEADER_VALUE.fullmatch(key):
+        raise ValueError(f"id {_shown(key)} cannot be sent in a header")
+    host, port = _decode_address(entry.address)
     cold_ms = non_negative_number(entry.cold_left_ms, MAX_COLD_MS)
     is_invalid = cold_ms is None and entry.cold_left_ms is not None
     return RegisteredUpstream(
         id=UpstreamId(key),
         service=ServiceName(entry.service),
         host=host,
-        port=int(port),
+        port=port,
         zone=ZoneName(entry.zone),
         version=SoftwareVersion(entry.version),
         n_slots=entry.slots,
@@ -79,3 +92,27 @@
         cold_left_s=None if cold_ms is None else cold_ms / 1000,
         fault=f"coldLeftMs {entry.cold_left_ms!r}" if is_invalid else "",
     )
+
+
+def _decode_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address to which connections can be made.
+
+    Raises:
+        ValueError: It is none.
+    """
+    host, _, port = address.rpartition(":")
+    if not re.fullmatch(r"[0-9]{1,5}", port) or not 0 < int(port) < 65536:
+        raise ValueError(f"address {_shown(address)} has no port")
+    try:
+        # The network has no name look-ups, which would also block a thread each.
+        ip = IPv4Address(host)
+    except ValueError:
+        raise ValueError(f"address {_shown(address)} is no IPv4 address") from None
+    # Connecting to an unspecified address reaches this machine.
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise ValueError(f"address {_shown(address)} is of no single machine")
+    return host, int(port)
+
+
+def _shown(value: str) -> str:
+    return repr(value[:MAX_SHOWN])
--- a/src/chicorylead/upstream/connection.py
+++ b/src/chicorylead/upstream/connection.py
@@ -486,7 +486,8 @@
             transport, conn = await loop.create_connection(
                 lambda: Connection(decode), host, port
             )
-    except (OSError, TimeoutError) as exc:
+    except Exception as exc:
+        # An address that cannot be used raises other errors than OSError, too.
         raise Failure(FailureKind.NOT_SENT, f"connect {host}:{port}: {exc!r}") from exc
     sock = transport.get_extra_info("socket")
     if sock is not None:
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -5,6 +5,7 @@
 
 from chicorylead.ids import ServiceName, SoftwareVersion, UpstreamId
 from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
 from chicorylead.traffic.model import Configuration
 from chicorylead.traffic.stream import Position, StreamRecord
 from chicorylead.upstream.connection import DecodeHead
@@ -23,6 +24,7 @@
 # return, which this router notices late.
 LAPSE_GRACE_S = 1.9
 FIRST_READ_S = 5.0  # of a router's start, after its first entry
+MAX_LOGGED = 200  # characters of what another writer wrote
 
 
 class Registry:
@@ -46,16 +48,19 @@
         intakes: Intakes,
         outage_ended_at: Callable[[], float],
         log: EventLog,
+        metrics: Metrics,
     ) -> None:
         self._decode_entry = decode_entry
         self._decode_answer = decode_answer
         self._intakes = intakes
         self._outage_ended_at = outage_ended_at
         self._log = log
+        self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._restarts = RestartDetector(self._loop.time)
         self._live: dict[UpstreamId, LiveUpstream] = {}
         self._lapsed: dict[UpstreamId, asyncio.TimerHandle] = {}
+        self._malformed: dict[UpstreamId, str] = {}  # with the reasons
         self._memory_tokens: dict[ServiceName, float] = {}
         self._cold_rules: dict[ServiceName, ColdRule] = {}
         self._first_entry_at: float | None = None
@@ -152,25 +157,40 @@
         self._era = max(self._era, record.era)
         upstream = UpstreamId(record.key)
         if record.value is None:
+            self._malformed.pop(upstream, None)
             self._handle_removed(upstream)
             return
         self._cancel_lapse(upstream)
         try:
             entry = self._decode_entry(record.key, record.value)
         except ValueError as exc:
-            self._log.warning(
-                "upstream_entry_malformed",
-                upstream=upstream,
-                position=record.position,
-                reason=exc,
-            )
+            self._log_malformed(upstream, record.position, str(exc))
             self._remove(upstream, "malformed entry")
             return
+        self._malformed.pop(upstream, None)
         self._apply_entry(entry, record.position)
 
+    def _log_malformed(
+        self, upstream: UpstreamId, position: Position, reason: str
+    ) -> None:
+        """Log and count an entry, once while it is malformed for the same reason."""
+        if self._malformed.get(upstream) == reason:
+            return
+        self._malformed[upstream] = reason
+        self._metrics.count("upstream.malformed_entries")
+        self._log.warning(
+            "upstream_entry_malformed",
+            upstream=upstream[:MAX_LOGGED],
+            position=position,
+            reason=reason[:MAX_LOGGED],
+            n_malformed=len(self._malformed),
+        )
+
     def apply_snapshot(self, records: list[StreamRecord]) -> None:
         """Remove upstreams that are no longer listed."""
         listed = {record.key for record in records}
+        for upstream in self._malformed.keys() - listed:
+            del self._malformed[upstream]
         for upstream in list(self._live):
             if upstream not in listed:
                 self._handle_removed(upstream)
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -7,6 +7,7 @@
 
 from chicorylead.ids import ServiceName, UpstreamId
 from chicorylead.logs import EventLog
+from chicorylead.metrics import Metrics
 from chicorylead.platform.registry import decode_upstream
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.stream import (
@@ -41,7 +42,12 @@
 def _registry(outage_ended_at: float = float("-inf")) -> Registry:
     intakes = Intakes(asyncio.get_running_loop().time)
     return Registry(
-        decode_upstream, decode_answer, intakes, lambda: outage_ended_at, EventLog()
+        decode_upstream,
+        decode_answer,
+        intakes,
+        lambda: outage_ended_at,
+        EventLog(),
+        Metrics(),
     )
 
 
