Keep the news of crashes in the store, for the loss of all routers

Cause: what is known of crashes was in the memory of routers alone.

Change: each router appends its news of crashes to a log of its own in the platform's store, a few times at most, and reads that log once after a start. The log of begun streams and this one share platform.plain_log.

Evidence: on the sources before, both tests with all routers restarted fail (a blocked request runs again; 5 crashes in 5 requests with a restart after each); now 2 crashes. The whole suite but for the tests that run alone passed.

--- a/src/chicorylead/gateway/app.py
+++ b/src/chicorylead/gateway/app.py
@@ -18,6 +18,7 @@
 from chicorylead.errors import Refusal
 from chicorylead.gateway.admission import AdmissionController
 from chicorylead.gateway.cold_monitor import ColdMonitor
+from chicorylead.gateway.crash_journal import CrashJournal
 from chicorylead.gateway.crash_monitor import CrashMonitor
 from chicorylead.gateway.directory import Directory
 from chicorylead.gateway.eligibility import Eligibility
@@ -67,9 +68,9 @@
     is_configuration,
     is_evacuation,
 )
+from chicorylead.platform.plain_log import CrashLog, StreamLog
 from chicorylead.platform.registry import decode_upstream, revision_of_upstream
 from chicorylead.platform.store import StoreClient
-from chicorylead.platform.stream_log import StreamLog
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.evacuation import Evacuations
 from chicorylead.traffic.model import CallerLimits, Configuration
@@ -238,6 +239,16 @@
         self._cold.on_news = self._peers.queue_claims
         self._quarantine.on_news = self._peers.queue_crash_news
         self._poison.on_news = self._peers.queue_crash_news
+        self._crash_journal = CrashJournal(
+            CrashLog(self._store, self.log),
+            lambda news: self._peer_state.apply_crash_news("store", news),
+            lambda: 1 + len(self._peers.state_peers()),
+            incarnation // NS_PER_MS,
+            self.log,
+            self._metrics,
+            rng,
+        )
+        self._router.on_crash_news = self._crash_journal.add
         origins = StreamOrigins(self._clock)
         witnesses = StreamWitnesses(
             origins,
@@ -377,6 +388,8 @@
         self.app.spawn(self._peers.run, "beacons")
         self.app.spawn(self._peer_records.run, "peer_records")
         self.app.spawn(self._journal.run, "stream_journal")
+        self.app.spawn(self._crash_journal.read, "crash_log_reads")
+        self.app.spawn(self._crash_journal.write, "crash_log_appends")
         self.app.spawn(self._close_stale_connections, "idle_connections")
         self.app.spawn(self._log_shares, "shares")
         self.log.info(
--- a/src/chicorylead/gateway/local_router.py
+++ b/src/chicorylead/gateway/local_router.py
@@ -53,6 +53,7 @@
     Attributes:
         on_streams: Called with what a router tells or asks about streams, and its IP
             address.
+        on_crash_news: Called with the news of crashes that peers are told.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self._clock = clock
         self._had_state_at = float("-inf")
         self.on_streams: Callable[[StreamMessage, str], None] = lambda *_: None
+        self.on_crash_news: Callable[[CrashNews], None] = lambda news: None
 
     def make_presence(self, sequence: int, peers: list[str]) -> Presence:
         """Return the presence of this router."""
@@ -133,7 +135,9 @@
 
     def make_crash_news(self) -> CrashNews:
         """Return the news of crashes since the last call."""
-        return self._state.make_crash_news(self._incarnation)
+        news = self._state.make_crash_news(self._incarnation)
+        self.on_crash_news(news)
+        return news
 
     def known_crashes(self) -> CrashNews:
         """Return all that is known of crashes, for a router that has just started."""
--- a/src/chicorylead/outcome/crash_news.py
+++ b/src/chicorylead/outcome/crash_news.py
@@ -1,11 +1,13 @@
 """What routers tell each other about crashes of upstreams."""
 
+from collections.abc import Iterable
+
 from msgspec import Struct
 from msgspec.structs import replace
 
 from chicorylead.outcome.poison_notice import PoisonNotice
 
-__all__ = ["CrashReport", "CrashNews", "TrialReport"]
+__all__ = ["CrashNews", "CrashReport", "LoggedCrashes", "TrialReport", "replay"]
 
 
 class CrashReport(Struct, frozen=True, array_like=True):
@@ -60,3 +62,36 @@
         ]
         suspects = [suspect.aged(age_ms) for suspect in self.suspects]
         return replace(self, crashes=crashes, suspects=suspects)
+
+
+class LoggedCrashes(Struct, frozen=True, array_like=True):
+    """News in the log of crashes.
+
+    Attributes:
+        at_ms: Wall-clock time at which the news was made, milliseconds.
+    """
+
+    at_ms: int
+    news: CrashNews
+
+
+def replay(logged: Iterable[LoggedCrashes], now_ms: int) -> CrashNews:
+    """Return what still holds of the news in the log, in its order.
+
+    Args:
+        logged: The news.
+        now_ms: Wall-clock time, milliseconds. That of the writers may differ a little.
+    """
+    crashes: dict[tuple[str, bool], CrashReport] = {}
+    suspects: list[PoisonNotice] = []
+    for item in logged:
+        news = item.news.aged(max(0, now_ms - item.at_ms))
+        answered = set(news.answered)
+        for key, crash in list(crashes.items()):
+            if answered.intersection(crash.parts):
+                parts = [part for part in crash.parts if part not in answered]
+                crashes[key] = replace(crash, parts=parts)
+        crashes |= {(crash.crash, crash.is_trial): crash for crash in news.crashes}
+        suspects += (suspect for suspect in news.suspects if suspect.ttl_s > 0)
+    left = [crash for crash in crashes.values() if crash.parts]
+    return CrashNews(0, left, [], [], suspects)
--- a/src/chicorylead/platform/stream_log.py
+++ b/src/chicorylead/platform/plain_log.py
@@ -1,57 +1,72 @@
-"""The log of begun streams in the platform's store."""
+"""Logs of the project's own in the platform's store."""
 
 import struct
 from collections.abc import Sequence
+from typing import Generic, TypeVar
 
 import msgspec
 
 from chicorylead.decoding import decode_msgpack
 from chicorylead.logs import EventLog
+from chicorylead.outcome.crash_news import LoggedCrashes
 from chicorylead.outcome.stream_origins import BegunStream
 from chicorylead.platform.store import StoreClient
 from chicorylead.traffic.stream import StoreUnavailable, StreamTrimmed
 
-__all__ = ["StreamLog"]
+__all__ = ["CrashLog", "PlainLog", "StreamLog"]
 
-_TOPIC = "begun-streams"
 _LENGTH = struct.Struct(">I")
 
+T = TypeVar("T")
 
-class StreamLog:
-    """Appends the streams that this router began, and reads those of all routers.
+
+class PlainLog(Generic[T]):
+    """Appends what this router has to tell, and reads what all routers appended.
 
     Args:
         store: Client of the store.
+        topic: Name of the topic.
+        items: Type of a record, a list.
+        name: First part of the names of its log events.
     """
 
-    def __init__(self, store: StoreClient, log: EventLog) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        topic: str,
+        items: type[list[T]],
+        name: str,
+        log: EventLog,
+    ) -> None:
         self._store = store
+        self._topic = topic
+        self._name = name
         self._log = log
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(list[BegunStream])
+        self._decoder = msgspec.msgpack.Decoder(items)
         self._era = 0
         self._offset = 0
         # Read before a page that failed, and not returned yet.
-        self._streams: list[BegunStream] = []
+        self._items: list[T] = []
 
-    async def append(self, streams: Sequence[BegunStream]) -> None:
-        """Append streams as one record.
+    async def append(self, items: Sequence[T]) -> None:
+        """Append items as one record.
 
         Raises:
             StoreUnavailable: The store gave no usable response.
         """
-        data = self._encoder.encode(streams)
-        await self._store.append(_TOPIC, _LENGTH.pack(len(data)) + data)
+        data = self._encoder.encode(items)
+        await self._store.append(self._topic, _LENGTH.pack(len(data)) + data)
 
-    async def read(self) -> list[BegunStream]:
-        """Return the streams that were appended since the last call.
+    async def read(self) -> list[T]:
+        """Return the items that were appended since the last call.
 
         Raises:
             StoreUnavailable: The store gave no usable response.
         """
         while True:
             try:
-                page = await self._store.read_plain(_TOPIC, self._offset)
+                page = await self._store.read_plain(self._topic, self._offset)
             except StreamTrimmed as exc:
                 self._restart(exc.era, exc.first or 0)
                 continue
@@ -62,10 +77,10 @@
             self._era = page.era
             self._offset = page.end
             for data in page.records:
-                self._streams.extend(self._decode(data))
+                self._items.extend(self._decode(data))
             if not page.has_more:
-                streams, self._streams = self._streams, []
-                return streams
+                items, self._items = self._items, []
+                return items
 
     def _restart(self, era: int, offset: int) -> None:
         """Go on at another offset.
@@ -77,9 +92,24 @@
             raise StoreUnavailable(f"log-read: offset {offset} is trimmed", era)
         self._era, self._offset = era, offset
 
-    def _decode(self, data: bytes) -> list[BegunStream]:
+    def _decode(self, data: bytes) -> list[T]:
         try:
             return decode_msgpack(self._decoder, data)
         except ValueError as exc:
-            self._log.warning("stream_log_malformed", n_bytes=len(data), reason=exc)
+            event = f"{self._name}_malformed"
+            self._log.warning(event, n_bytes=len(data), reason=exc)
             return []
+
+
+class StreamLog(PlainLog[BegunStream]):
+    """The log of begun streams."""
+
+    def __init__(self, store: StoreClient, log: EventLog) -> None:
+        super().__init__(store, "begun-streams", list[BegunStream], "stream_log", log)
+
+
+class CrashLog(PlainLog[LoggedCrashes]):
+    """The log of crashes of upstreams."""
+
+    def __init__(self, store: StoreClient, log: EventLog) -> None:
+        super().__init__(store, "crashes", list[LoggedCrashes], "crash_log", log)
--- a/tests/gateway/test_fuzz.py
+++ b/tests/gateway/test_fuzz.py
@@ -19,10 +19,10 @@
     decode_configuration,
     revision_of_configuration,
 )
+from chicorylead.platform.plain_log import StreamLog
 from chicorylead.platform.registry import decode_upstream, revision_of_upstream
 from chicorylead.platform.settings_file import decode_settings
 from chicorylead.platform.store import StoreClient, _era
-from chicorylead.platform.stream_log import StreamLog
 from chicorylead.platform.upstream_wire import decode_answer
 from chicorylead.traffic.stream import StoreUnavailable, Stream, StreamRecord
 from chicorylead.upstream.connection import Connection, Failure
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -79,8 +79,10 @@
         self._n_routers = n_routers
 
     async def __aenter__(self) -> "GatewayPair":
+        self._entered_at = asyncio.get_running_loop().time()
         self.store, self.other_store = FakeStore(), FakeStore()
         self.other_store.logs = self.store.logs
+        self.other_store.plain_logs = self.store.plain_logs
         self.other_store.is_down = self._second_store_is_down
         self.upstream = FakeUpstream(_serve)
         await self.upstream.start()
@@ -95,7 +97,7 @@
             for n in range(self._n_routers)
         ]
         self.gateways = [
-            Gateway(cfg, incarnation=INCARNATION, read_settings=lambda: None)
+            Gateway(cfg, self._incarnation(), read_settings=lambda: None)
             for cfg in self.cfgs
         ]
         for gateway in self.gateways:
@@ -109,6 +111,11 @@
         await self.store.stop()
         await self.other_store.stop()
 
+    def _incarnation(self) -> int:
+        """Return the wall-clock time of a start, nanoseconds."""
+        up_s = asyncio.get_running_loop().time() - self._entered_at
+        return INCARNATION + round(up_s * 1e9)
+
     async def restart(self, number: int) -> None:
         """Replace a router by one that knows nothing."""
         await self.restart_all([number])
@@ -120,7 +127,7 @@
         await asyncio.sleep(0.05)  # datagram sockets are closed in a later iteration
         for number in numbers:
             self.gateways[number] = Gateway(
-                self.cfgs[number], INCARNATION + 1, read_settings=lambda: None
+                self.cfgs[number], self._incarnation(), read_settings=lambda: None
             )
             await self.gateways[number].app.start()
 
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -42,7 +42,7 @@
     Unprovable,
     decide_take_up,
 )
-from chicorylead.platform.stream_log import StreamLog
+from chicorylead.platform.plain_log import StreamLog
 from chicorylead.traffic.model import Operation, RepeatPolicy
 from chicorylead.traffic.request import CallerHead, ForwardRequest
 from chicorylead.traffic.stream import PlainPage, StoreUnavailable, StreamTrimmed
