Rank an entry by its start only if it names an upstream

Cause: the revision of an entry was read from its born and seq alone, so that a malformed one, with a later born, outranked all that the upstream wrote afterwards, while it had also unlisted the upstream.

Change: only an entry that passes all checks has a revision; any later record replaces one without. The check of addresses is one expression now, as revisions are compared for each record that is read.

--- a/src/chicorylead/platform/registry.py
+++ b/src/chicorylead/platform/registry.py
@@ -5,7 +5,6 @@
 """
 
 import re
-from ipaddress import IPv4Address
 from typing import Literal
 
 from msgspec import Struct
@@ -26,6 +25,9 @@
 MAX_SHOWN = 80  # characters of a wrong value
 MAX_NAME = 255  # characters
 _HEADER_VALUE = re.compile(r"[!-~]+")
+_OCTET = r"(0|[1-9][0-9]{0,2})"
+_ADDRESS = re.compile(rf"{_OCTET}\.{_OCTET}\.{_OCTET}\.{_OCTET}:([0-9]{{1,5}})")
+MAX_UNICAST = 223  # first octet of the last addresses that are of a single machine
 
 
 class _Entry(Struct, rename="camel", frozen=True):
@@ -44,18 +46,17 @@
     cold_left_ms: object = None
 
 
-class _Revision(Struct, frozen=True):
-    seq: Count
-    born: Count = 0
-
-
 def revision_of_upstream(record: StreamRecord) -> tuple[int, ...] | None:
-    """Return start and sequence of an entry; None if it is malformed."""
+    """Return start and sequence of an entry; None if it names no upstream.
+
+    Otherwise what another writer puts under the id of an upstream could outrank all
+    that this writes afterwards.
+    """
     try:
-        revision = decode_json(record.value or b"", _Revision)
+        entry = decode_upstream(record.key, record.value or b"")
     except ValueError:
         return None
-    return revision.born, revision.seq
+    return entry.born_ms, entry.sequence
 
 
 def decode_upstream(key: str, data: bytes) -> RegisteredUpstream:
@@ -69,10 +70,10 @@
         ValueError: The entry does not describe a usable upstream.
     """
     entry = decode_json(data, _Entry)
-    names = {"service": entry.service, "zone": entry.zone, "version": entry.version}
-    for field, name in (("id", key), *names.items()):
-        if not name.isprintable() or not 0 < len(name) <= MAX_NAME:
-            raise ValueError(f"{field} {_shown(name)} is no name")
+    _check_name("id", key)
+    _check_name("service", entry.service)
+    _check_name("zone", entry.zone)
+    _check_name("version", entry.version)
     if not _HEADER_VALUE.fullmatch(key):
         raise ValueError(f"id {_shown(key)} cannot be sent in a header")
     host, port = _decode_address(entry.address)
@@ -94,24 +95,28 @@
     )
 
 
+def _check_name(field: str, name: str) -> None:
+    if not name.isprintable() or not 0 < len(name) <= MAX_NAME:
+        raise ValueError(f"{field} {_shown(name)} is no name")
+
+
 def _decode_address(address: str) -> tuple[str, int]:
     """Return host and port of an address to which connections can be made.
 
     Raises:
         ValueError: It is none.
     """
-    host, _, port = address.rpartition(":")
-    if not re.fullmatch(r"[0-9]{1,5}", port) or not 0 < int(port) < 65536:
-        raise ValueError(f"address {_shown(address)} has no port")
-    try:
-        # The network has no name look-ups, which would also block a thread each.
-        ip = IPv4Address(host)
-    except ValueError:
-        raise ValueError(f"address {_shown(address)} is no IPv4 address") from None
-    # Connecting to an unspecified address reaches this machine.
-    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+    # A name would need a look-up, which the network does not have.
+    match = _ADDRESS.fullmatch(address)
+    if match is None:
+        raise ValueError(f"address {_shown(address)} is no IPv4 address and port")
+    first, *octets, port = map(int, match.groups())
+    # Connecting to the unspecified address reaches this machine.
+    if not 0 < first <= MAX_UNICAST or max(octets) > 255:
         raise ValueError(f"address {_shown(address)} is of no single machine")
-    return host, int(port)
+    if not 0 < port < 65536:
+        raise ValueError(f"address {_shown(address)} has no valid port")
+    return address[: address.rindex(":")], port
 
 
 def _shown(value: str) -> str:
--- a/tests/gateway/test_entries_of_other_writers.py
+++ b/tests/gateway/test_entries_of_other_writers.py
@@ -222,6 +222,33 @@
     assert n_misdirected <= 3
 
 
+# Guards against an entry under the id of an upstream that outranks all it writes later.
+@pytest.mark.parametrize(
+    "odd",
+    (
+        {"state": "ready", "seq": 2**40, "born": 2**50},
+        SOUND | {"seq": 2**40, "born": 2**50, "address": "a..b:1"},
+        SOUND | {"seq": 2**40, "born": 2**50, "state": "odd"},
+    ),
+)
+def test_an_upstream_is_listed_again_by_its_next_own_entry(odd):
+    async def main() -> None:
+        async with _serving_beside({}) as harness:
+            upstream = harness.gateway._registry.get(UpstreamId("u1"))
+            harness.store.put("keyed.servers", "u1", odd)
+            async with asyncio.timeout(5.0):
+                while harness.gateway.n_upstreams > 0:
+                    await asyncio.sleep(0.01)
+            port = upstream.entry.port
+            own = SOUND | {"address": f"127.0.0.1:{port}", "born": 1000, "seq": 2}
+            harness.store.put("keyed.servers", "u1", own)
+            async with asyncio.timeout(1.0):
+                while (await harness.call("/look/a"))[0] != 200:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(main())
+
+
 def test_odd_entries_are_logged_once_and_counted_until_they_are_mended(log_capture):
     async def main() -> None:
         log_capture.open()
