--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -27,6 +27,8 @@
 SLOW_TARGET = "/revise/slow"
 SLOW_EVENT_INTERVAL_S = 0.9
 FOREIGN_BYTES = 4096
+# Random bytes beside what a stream may consist of without an event.
+FOREIGN_BLOCKS = (None, b"\n", b":\n\n", b"data\n")
 FOREIGN_INTERVAL_S = 0.002
 MAX_WORK_S = 0.03
 DEADLINE_MS = 2500
@@ -240,8 +242,12 @@
 
     async def _write_foreign_bytes(self, writer: asyncio.StreamWriter) -> None:
         """Write bytes that are no events until the router closes the connection."""
+        block = self._rng.choice(FOREIGN_BLOCKS)
         while not writer.transport.is_closing():
-            data = self._rng.randbytes(FOREIGN_BYTES) + b"\n\n"
+            if block is None:
+                data = self._rng.randbytes(FOREIGN_BYTES) + b"\n\n"
+            else:
+                data = block * (FOREIGN_BYTES // len(block))
             writer.write(b"%x\r\n" % len(data) + data + b"\r\n")
             await writer.drain()
             await asyncio.sleep(FOREIGN_INTERVAL_S)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -37,6 +37,10 @@
 FAULT_RATIO = 0.08  # of the requests to an upstream
 N_SLOTS = 8  # requests that an upstream says it runs at once
 ODD_DEPTH = 1200  # nested deeper than a decoder follows
+ODD_ADDRESSES = ("127..0.1:8080", "a..b:1", "0.0.0.0:80", "127.0.0.1:1")
+REWRITTEN_S = 1.0  # an upstream writes its entry about as often
+PROBE_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 10.0
 
 
 def _configuration(version: int = 1) -> dict[str, object]:
@@ -56,6 +60,8 @@
 
     Attributes:
         caller_address: Host and port for callers, through the proxy.
+        longest_silence_s: Longest time for which it answered no readiness check while
+            it ran, seconds.
     """
 
     def __init__(
@@ -74,11 +80,15 @@
         # cancelled meanwhile.
         self._processes: list[asyncio.subprocess.Process] = []
         self._spawning: asyncio.Task[None] | None = None
+        self._signalled_at = 0.0
+        self._control_port = 0
+        self.longest_silence_s = 0.0
 
     def write_settings(
         self, store: str, peer_port: int, control_port: int, **changes: object
     ) -> None:
         """Write the settings in the platform's form; only `frontend` ports differ."""
+        self._control_port = control_port
         addresses = {
             "frontend": f"{self.host}:{self.port}",
             "readiness": f"{self.host}:{control_port + 1}",
@@ -119,8 +129,26 @@
         )
         self._processes.append(self._process)
 
+    async def watch(self) -> None:
+        """Check its readiness until cancelled, and note how long it was silent."""
+        clock = asyncio.get_running_loop().time
+        while True:
+            asked_at = clock()
+            try:
+                async with asyncio.timeout(PROBE_TIMEOUT_S):
+                    await call(self._control_port + 1, "/api/readyz", host_ip=self.host)
+            except (OSError, EOFError, TimeoutError):
+                pass
+            else:
+                # One that was stopped meanwhile could not answer.
+                if self._signalled_at < asked_at:
+                    silence_s = clock() - asked_at
+                    self.longest_silence_s = max(self.longest_silence_s, silence_s)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
     def signal(self, number: int) -> None:
         """Send a signal to the process if it still runs."""
+        self._signalled_at = asyncio.get_running_loop().time()
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
@@ -172,6 +200,7 @@
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
         self._restarts: set[asyncio.Task[None]] = set()
+        self._watches: list[asyncio.Task[None]] = []
         self._born = 0
         self._is_started = False
         self._cold_until: dict[str, float] = {}
@@ -202,10 +231,11 @@
             host, _, port = address.rpartition(":")
             router.caller_address = (host, int(port))
             await router.start()
+            self._watches.append(asyncio.ensure_future(router.watch()))
 
     async def stop(self) -> None:
         """Cancel faults under way and stop everything that `start` started."""
-        under_way = (*self._faults, *self._restarts)
+        under_way = (*self._faults, *self._restarts, *self._watches)
         for task in under_way:
             task.cancel()
         await asyncio.gather(*under_way, return_exceptions=True)
@@ -458,14 +488,33 @@
             self.store.put("keyed.servers", name, None)
 
     async def _write_odd_entry(self) -> None:
-        """Write an entry that no router can read, as another writer may."""
+        """Write an entry that names no upstream, as another writer may.
+
+        Some are under the id of an upstream, which writes its own again.
+        """
+        outranking = {"seq": 2**50, "born": 2**50, "state": "ready"}
+        address = self._rng.choice(ODD_ADDRESSES)
+        like_an_upstream = {
+            **registry_entry(FakeUpstream(None), address=address),
+            "slots": 2**40,
+        }
         entries = (
             b'{"note":' + b"[" * ODD_DEPTH + b"]" * ODD_DEPTH + b"}",
             b'{"seq":' + b"9" * ODD_DEPTH + b"}",
             self._rng.randbytes(ODD_DEPTH),
+            json.dumps(outranking).encode(),
+            json.dumps(like_an_upstream).encode(),
         )
-        key = f"odd{self._rng.randrange(5)}"
-        self.store.put("keyed.servers", key, self._rng.choice(entries))
+        entry = self._rng.choice(entries)
+        listed = sorted(self._upstreams.keys() & self._scripts.keys())
+        if entry == entries[-1] or not listed or self._rng.random() < 0.5:
+            self.store.put("keyed.servers", f"odd{self._rng.randrange(5)}", entry)
+            return
+        name = self._rng.choice(listed)
+        self.store.put("keyed.servers", name, entry)
+        await asyncio.sleep(REWRITTEN_S)
+        if name in self._upstreams:
+            self._register(name)
 
     async def _limit_upstream(self, for_s: float) -> None:
         script = self._rng.choice(list(self._scripts.values()))
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class Result:
-    """Violations, injected faults, crashes, statuses and take-ups of one seed."""
+    """Violations, injected faults, crashes, statuses, take-ups, silence of a seed."""
 
     violations: tuple[str, ...]
     injected: tuple[str, ...]
@@ -28,13 +28,15 @@
     n_crashes: int
     n_taken_up: int
     take_ups: str
+    longest_silence_s: float
 
     def __str__(self) -> str:
         summary = "; ".join(self.violations[:5]) or "no violations"
         return (
             f"{summary}; {len(self.injected)} injected faults, {self.n_crashes} "
             f"crashes by requests, {self.n_taken_up} streams taken up, statuses "
-            f"{self.statuses}; {self.take_ups}"
+            f"{self.statuses}; {self.take_ups}; longest silence of a router "
+            f"{self.longest_silence_s:.2f} s"
         )
 
 
@@ -104,6 +106,7 @@
         len(ledger.crashed_at),
         ledger.n_taken_up,
         take_ups,
+        max(router.longest_silence_s for router in fleet.routers),
     )
 
 
