Bound the health response of an upstream

It is given up after 64 KB now, as a failed one.

test_a_health_response_without_end_is_given_up_after_some_bytes reads with the client that asks for health; before there was no bound to test. The tests of the client, of endless bytes and of health responses passed.

--- a/src/chicorylead/gateway/cold_monitor.py
+++ b/src/chicorylead/gateway/cold_monitor.py
@@ -23,6 +23,7 @@
 __all__ = ["ColdMonitor"]
 
 HEALTH_TIMEOUT_S = 0.5  # a live upstream answers within a few milliseconds
+MAX_HEALTH_BYTES = 65_536  # what counts is in the head
 HEALTH_INTERVAL_S = 5.0  # to each upstream
 NEWS_S = 1.5  # three claims: a router that misses all of them notices by itself
 
@@ -145,7 +146,7 @@
 
     async def _check(self, upstream: LiveUpstream, path: str) -> None:
         entry = upstream.entry
-        client = HttpClient()
+        client = HttpClient(MAX_HEALTH_BYTES)
         try:
             response = await client.get(
                 (entry.host, entry.port), path, {}, HEALTH_TIMEOUT_S
--- a/src/chicorylead/http_client.py
+++ b/src/chicorylead/http_client.py
@@ -38,9 +38,15 @@
 
 
 class HttpClient:
-    """Sends requests and keeps connections open between them."""
+    """Sends requests and keeps connections open between them.
 
-    def __init__(self) -> None:
+    Args:
+        max_body_bytes: Largest body of a response, bytes; None for servers that are
+            trusted to end theirs.
+    """
+
+    def __init__(self, max_body_bytes: int | None = None) -> None:
+        self._max_body_bytes = max_body_bytes
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._clock = asyncio.get_running_loop().time
 
@@ -120,12 +126,7 @@
         try:
             conn.send(_NO_ID, request)
             head = await conn.read_head(deadline - self._clock())
-            parts: list[bytes] = []
-            while True:
-                part = await conn.read_body_part(deadline - self._clock())
-                if part is None:
-                    break
-                parts.append(part)
+            body = await self._read_body(conn, deadline)
             is_done = True
         finally:
             if not is_done:
@@ -133,7 +134,19 @@
         conn.finish()
         if conn.is_reusable:
             self._idle.setdefault(address, []).append(conn)
-        return HttpResponse(head.status, b"".join(parts), head.headers)
+        return HttpResponse(head.status, body, head.headers)
+
+    async def _read_body(self, conn: Connection, deadline: float) -> bytes:
+        parts: list[bytes] = []
+        n_bytes = 0
+        while True:
+            part = await conn.read_body_part(deadline - self._clock())
+            if part is None:
+                return b"".join(parts)
+            n_bytes += len(part)
+            if self._max_body_bytes is not None and n_bytes > self._max_body_bytes:
+                raise Failure(FailureKind.GARBLED, f"body of {n_bytes} bytes or more")
+            parts.append(part)
 
 
 def _encode(
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from tests.gateway.fakes import ReceivedRequest
+from chicorylead.gateway.cold_monitor import MAX_HEALTH_BYTES
+from chicorylead.http_client import HttpClient
+from chicorylead.upstream.connection import Failure
+from tests.gateway.fakes import FakeUpstream, ReceivedRequest
 from tests.gateway.test_gateway import (
     STREAM_HEAD,
     GatewayHarness,
@@ -153,3 +156,30 @@
         await _wait_until_ended(responder)
 
     _run_check([responder], check)
+
+
+# Guards against an upstream whose health response fills the memory of a router.
+def test_a_health_response_without_end_is_given_up_after_some_bytes():
+    n_written = 0
+
+    async def write_endless(got: ReceivedRequest, writer: Writer) -> None:
+        nonlocal n_written
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not writer.transport.is_closing():
+            writer.write(_chunk(LARGE_BLOCK))
+            n_written += len(LARGE_BLOCK)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async def main() -> None:
+        upstream = FakeUpstream(write_endless)
+        await upstream.start()
+        client = HttpClient(MAX_HEALTH_BYTES)
+        address = ("127.0.0.1", upstream.port)
+        with pytest.raises(Failure, match="body of"):
+            await client.get(address, "/health", {}, 5.0)
+        await client.close()
+        await upstream.stop()
+
+    asyncio.run(main())
+    assert n_written <= MAX_BYTES_READ
