Log an ignored field of an entry once, and in part

Cause: an invalid coldLeftMs was logged in full with each write of the entry, about once a second for each upstream of another writer.

test_an_invalid_cold_time_is_ignored_and_logged_once: by reading, three lines of 1,000 letters before; one short line now.

--- a/src/chicorylead/gateway/crash_journal.py
+++ b/src/chicorylead/gateway/crash_journal.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Protocol
 
-from msgspec import structs
+from msgspec.structs import replace
 
 from chicorylead.logs import EventLog
 from chicorylead.metrics import Metrics
@@ -90,7 +90,7 @@
             return
         if len(self._queue) == MAX_QUEUED:
             self._metrics.count("crash_log.dropped")
-        lasting = structs.replace(news, trials=[])
+        lasting = replace(news, trials=[])
         self._queue.append(LoggedCrashes(self._now_ms(), lasting))
         self._has_news.set()
 
--- a/src/chicorylead/platform/registry.py
+++ b/src/chicorylead/platform/registry.py
@@ -91,7 +91,7 @@
         born_ms=entry.born,
         sequence=entry.seq,
         cold_left_s=None if cold_ms is None else cold_ms / 1000,
-        fault=f"coldLeftMs {entry.cold_left_ms!r}" if is_invalid else "",
+        fault=f"coldLeftMs {_shown(entry.cold_left_ms)}" if is_invalid else "",
     )
 
 
@@ -119,5 +119,5 @@
     return address[: address.rindex(":")], port
 
 
-def _shown(value: str) -> str:
-    return repr(value[:MAX_SHOWN])
+def _shown(value: object) -> str:
+    return repr(value)[:MAX_SHOWN]
--- a/src/chicorylead/upstream/registry.py
+++ b/src/chicorylead/upstream/registry.py
@@ -196,11 +196,11 @@
                 self._handle_removed(upstream)
 
     def _apply_entry(self, entry: RegisteredUpstream, position: Position) -> None:
-        if entry.fault:
+        current = self._live.get(entry.id)
+        if entry.fault and (current is None or current.entry.fault != entry.fault):
             self._log.warning(
                 "upstream_entry_fault", upstream=entry.id, ignored=entry.fault
             )
-        current = self._live.get(entry.id)
         is_old = current is not None and _is_older(entry, current.entry)
         is_old = is_old and not self._restarts.is_confirmed(entry)
         if is_old or self._was_removed(entry, position):
--- a/tests/gateway/test_entries_of_other_writers.py
+++ b/tests/gateway/test_entries_of_other_writers.py
@@ -249,6 +249,22 @@
     asyncio.run(main())
 
 
+def test_an_invalid_cold_time_is_ignored_and_logged_once(log_capture):
+    async def main() -> None:
+        log_capture.open()
+        odd = SOUND | {"coldLeftMs": ["x" * 1000]}
+        async with _serving_beside({"odd": odd}) as harness:
+            for sequence in range(2, 5):
+                harness.store.put("keyed.servers", "odd", odd | {"seq": sequence})
+                await asyncio.sleep(0.1)
+            assert harness.gateway.n_upstreams == 2
+
+    asyncio.run(main())
+    output = log_capture.read()
+    assert output.count("event=upstream_entry_fault ") == 1
+    assert "x" * 200 not in output
+
+
 def test_odd_entries_are_logged_once_and_counted_until_they_are_mended(log_capture):
     async def main() -> None:
         log_capture.open()
